--- a/src/salthead/protocol/messages.py
+++ b/src/salthead/protocol/messages.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import re
-from typing import Any, Literal, TypeVar
+from typing import Annotated, Any, Literal, TypeVar
 
 import cbor2
 import msgspec
@@ -21,22 +21,26 @@
     """A message that can't be understood, with a short reason."""
 
 
+# A record has to fit into one value of the state service.
+Name = Annotated[str, msgspec.Meta(min_length=1, max_length=200)]
+
+
 class Submission(msgspec.Struct, omit_defaults=True):
     """POST /work, which is also the record that is kept of it."""
 
     uid: str
-    breed: str
-    crew: str
+    breed: Name
+    crew: Name
     shape: Literal["array", "gang"]
     urgency: Literal["prod", "urgent", "normal", "idle"]
     pieces: int
     vcpus: float
     ram_gb: float
     accelerators: float = 0.0
-    kit: str | None = None
+    kit: Name | None = None
     image_gb: float = 0.0
     builds: list[str] | None = None
-    paddock: str | None = None
+    paddock: Name | None = None
     same_place: bool = False
     apart: bool = False
     borrowed: bool = False
@@ -157,8 +161,6 @@
         finite(job.due_s, 0.0, "due_s")
     if job.vcpus <= 0 and job.accelerators <= 0 and job.ram_gb <= 0:
         raise Malformed("vcpus: a task must take something")
-    if not job.breed or not job.crew:
-        raise Malformed("breed and crew must not be empty")
     job.at = 0.0
     return job
 
--- a/src/salthead/service.py
+++ b/src/salthead/service.py
@@ -200,7 +200,8 @@
         if team is None:
             raise Rejected(f"unknown team {job.crew[:60]}")
         many = job.pieces if job.shape == names.GANG else 1
-        if job.vcpus * many > team.cpus_max + 1e-6 or job.accelerators * many > team.gpus_max + 1e-6:
+        gpus = job.accelerators * many
+        if job.vcpus * many > team.cpus_max + 1e-6 or gpus > team.gpus_max + 1e-6:
             raise Rejected("more than the team's limit")
         if not self.flavors:
             raise Later("machine types not known yet")
--- a/src/salthead/transport/server.py
+++ b/src/salthead/transport/server.py
@@ -85,6 +85,7 @@
         try:
             status, body = await self.node.submit(decode_submission(self.request.body))
         except Malformed as error:
+            log.info("submission refused: %s", error)
             status, body = 400, {"error": str(error)[:200]}
         except Rejected as error:
             status, body = 422, {"error": str(error)[:200]}
--- /dev/null
+++ b/tests/test_ledger.py
@@ -0,0 +1,281 @@
+"""The ledger on fake time: who holds what, and when it is certain that it is gone."""
+
+import random
+
+import pytest
+
+from helpers import job, ledger, machine, ready, report, spec, verbs
+from salthead.coordination import placement
+from salthead.coordination.lease import surely_over
+from salthead.coordination.ledger import LOST, UP
+from salthead.protocol.messages import Submission
+
+
+def place(led, now=0.0):
+    return placement.place(led, random.Random(1), now)
+
+
+def test_a_start_is_ordered_until_a_report_shows_it() -> None:
+    led = ready()
+    machine(led, "m1")
+    one = job(led, pieces=1)
+    place(led)
+    attempt = one.bindings[0].attempt
+    start = [{"verb": "start", "piece": "req-1/0", "try": attempt}]
+    assert led.on_report(report("m1", 2), 1.0) == start
+    assert led.on_report(report("m1", 3), 2.0) == start, "the answer may have been lost"
+    shown = ("req-1/0", attempt, "running")
+    assert led.on_report(report("m1", 4, shown), 3.0) == []
+    done = ("req-1/0", attempt, "exited", "done")
+    assert led.on_report(report("m1", 5, done), 4.0) == [], "done is reaped once it is durable"
+    assert one.complete and not one.bindings
+    led.saved(one, [0])
+    assert verbs(led.on_report(report("m1", 6, done), 5.0)) == [("reap", "req-1/0")]
+
+
+@pytest.mark.parametrize(
+    ("cause", "again"),
+    [("halted", True), ("error", True), ("full", True), ("unknown", True), ("in_use", True),
+     ("done", False)],
+)
+def test_exits(cause: str, again: bool) -> None:
+    led = ready()
+    machine(led, "m1")
+    one = job(led, pieces=1)
+    place(led)
+    attempt = one.bindings[0].attempt
+    orders = led.on_report(report("m1", 2, ("req-1/0", attempt, "exited", cause)), 1.0)
+    assert one.waiting() == (1 if again else 0)
+    assert bool(orders) == again, "all but done are reaped at once"
+    assert led.usage[one.crew] == [0.0, 0.0] and led.machines["m1"].used == [0.0, 0.0, 0.0]
+
+
+def test_a_silent_machine_holds_task_quota_and_room_until_its_lease_is_over() -> None:
+    led = ready()
+    one = job(led, crew="red", pieces=1, vcpus=8.0)
+    machine(led, "m1")
+    place(led)
+    led.on_report(report("m1", 2, ("req-1/0", one.attempt or one.bindings[0].attempt, "running")),
+                  1.0)
+    over = surely_over(1.0, led.limits.workers.lease_s)
+    led.tick(over - 0.01)
+    assert one.bindings and led.usage[one.crew][0] == 8.0
+    led.tick(over + 0.01)
+    assert led.machines["m1"].phase == LOST
+    assert not one.bindings and led.usage[one.crew][0] == 0.0
+    # A late report of that session is old news: it neither revives the machine nor its task.
+    assert led.on_report(report("m1", 3, ("req-1/0", 1, "running")), over + 1.0) is None
+    assert led.on_report(report("m1", 4, tenure=2), over + 2.0) == []
+    assert led.machines["m1"].phase == UP
+
+
+def test_a_new_session_frees_the_tasks_of_the_old_one() -> None:
+    led = ready()
+    machine(led, "m1")
+    one = job(led, pieces=2)
+    place(led)
+    led.on_report(report("m1", 9, tenure=2), 1.0)
+    assert one.waiting() == 2
+
+
+def test_late_reports_change_nothing() -> None:
+    led = ready()
+    machine(led, "m1")
+    one = job(led, pieces=1)
+    place(led)
+    attempt = one.bindings[0].attempt
+    led.on_report(report("m1", 5, ("req-1/0", attempt, "running")), 1.0)
+    assert led.on_report(report("m1", 4), 2.0) == []
+    assert one.bindings, "a report older than the newest is not proof that a task is gone"
+
+
+def test_a_higher_token_deposes() -> None:
+    led = ready()
+    assert led.on_report(report("m1", 1, baton=8), 0.0) is None
+    assert led.deposed_by == 8
+
+
+class TestTakeover:
+    def test_nothing_is_placed_before_every_rostered_machine_is_accounted_for(self) -> None:
+        led = ledger()
+        led.add_machine("m1", "small", "north", False, 0.0, rostered=True)
+        led.add_machine("m2", "small", "north", False, 0.0, rostered=True)
+        job(led)
+        # Still under the old token: commands of the old leader may yet be executed.
+        led.on_report(report("m1", 1, baton=6), 0.5)
+        led.tick(0.6)
+        assert not led.ready
+        led.on_report(report("m1", 2), 1.0)
+        led.tick(1.1)
+        assert not led.ready, "m2 may run anything"
+        place(led, 1.2)
+        assert not led.jobs["req-1"].bindings
+        led.tick(surely_over(0.0, led.limits.workers.lease_s) + 0.1)
+        assert led.ready
+
+    def test_tasks_found_are_adopted_and_not_started_again(self) -> None:
+        led = ledger()
+        for name in ("m1", "m2"):
+            led.add_machine(name, "small", "north", False, 0.0, rostered=True)
+        one = job(led, pieces=2)
+        led.on_report(report("m1", 1, ("req-1/1", 33, "running"), ("req-1/0", 34, "fetching")), 0.5)
+        led.on_report(report("m2", 1), 0.5)
+        led.tick(0.6)
+        assert led.ready and one.waiting() == 0
+        assert one.bindings[1].attempt == 33
+        assert led.usage[one.crew][0] == 4.0
+
+    def test_done_found_late_is_done_and_its_twin_is_stopped(self) -> None:
+        led = ready()
+        machine(led, "m1")
+        one = job(led, pieces=1)
+        place(led)
+        attempt = one.bindings[0].attempt
+        led.on_report(report("m1", 2, ("req-1/0", attempt, "running")), 1.0)
+        led.on_report(report("m2", 1, ("req-1/0", 5, "exited", "done")), 1.0)
+        assert one.complete
+        assert verbs(led.on_report(report("m1", 3, ("req-1/0", attempt, "running")), 2.0)) == [
+            ("stop", "req-1/0")]
+
+    @pytest.mark.parametrize(
+        ("pieces", "adopted"),
+        [
+            ([("m1", "req-1/0", 5), ("m2", "req-1/1", 5)], 2),
+            ([("m1", "req-1/0", 5), ("m2", "req-1/1", 6)], 1),  # two attempts: one has to go
+        ],
+    )
+    def test_gangs(self, pieces: list[tuple[str, str, int]], adopted: int) -> None:
+        led = ledger()
+        one = job(led, shape="gang", pieces=2)
+        for name, piece, attempt in pieces:
+            led.on_report(report(name, 1, (piece, attempt, "running")), 0.5)
+        assert len(one.bindings) == adopted
+
+    def test_reports_before_the_jobs_are_loaded_only_keep_the_worker_alive(self) -> None:
+        led = ledger()
+        led.loaded = False
+        assert led.on_report(report("m1", 1, ("req-1/0", 3, "running")), 0.1) == []
+        assert not led.machines["m1"].joined
+        led.loaded = True
+        job(led, pieces=1)
+        led.on_report(report("m1", 2, ("req-1/0", 3, "running")), 1.0)
+        assert led.jobs["req-1"].bindings
+
+
+class TestStrays:
+    def test_a_stray_of_an_ended_job_is_stopped_and_holds_quota(self) -> None:
+        led = ready()
+        orders = led.on_report(report("m1", 1, ("req-9/0", 3, "running")), 0.0)
+        assert orders == [{"verb": "stop", "piece": "req-9/0", "try": 3, "leeway_s": 0.0}]
+        machine(led, "m2")
+        job(led, crew="red", pieces=1)
+        place(led)
+        assert not led.jobs["req-1"].bindings, "whose quota the stray uses is not known yet"
+        ended: Submission = spec(uid="req-9", crew="red", vcpus=23.0)
+        led.know_stranger(ended)
+        place(led, 5.0)
+        assert not led.jobs["req-1"].bindings, "23 of 24 CPUs are taken"
+        led.on_report(report("m1", 2), 6.0)
+        led.on_report(report("m2", 2), 9.0)
+        place(led, 10.0)
+        assert led.jobs["req-1"].bindings
+
+    def test_a_job_with_a_stray_attempt_starts_nothing(self) -> None:
+        led = ready()
+        machine(led, "m1")
+        machine(led, "m2")
+        one = job(led, shape="gang", pieces=2)
+        led.on_report(report("m1", 2, ("req-1/0", 5, "running")), 0.0)  # adopted: attempt 5
+        led.on_report(report("m2", 2, ("req-1/1", 4, "running")), 0.0)  # stray
+        led.on_report(report("m1", 3, ("req-1/0", 5, "exited", "mates_gone")), 1.0)
+        place(led, 1.0)
+        assert not one.bindings
+        led.on_report(report("m2", 3), 2.0)
+        place(led, 4.0)
+        assert len(one.bindings) == 2
+
+
+class TestCancel:
+    def test_tasks_go_and_a_start_in_flight_is_waited_for(self) -> None:
+        led = ready()
+        machine(led, "m1")
+        one = job(led, pieces=2)
+        place(led)
+        attempts = [one.bindings[n].attempt for n in range(2)]
+        led.on_report(report("m1", 2, ("req-1/0", attempts[0], "running")), 1.0)
+        led.end_job(one, "aborted")
+        assert len(one.bindings) == 2, "the second start may be on its way"
+        orders = led.on_report(report("m1", 3, ("req-1/0", attempts[0], "running")), 2.0)
+        assert verbs(orders) == [("stop", "req-1/0")]
+        assert "req-1" in led.jobs and led.usage[one.crew][0] == 2.0
+        led.on_report(report("m1", 4), 3.0)
+        assert "req-1" not in led.jobs and led.usage[one.crew][0] == 0.0
+        place(led, 9.0)
+        assert not led.machines["m1"].bindings
+
+
+class TestGangs:
+    def gang(self, led, now=0.0, **changes):
+        for name in ("m1", "m2"):
+            machine(led, name, now)
+        one = job(led, shape="gang", pieces=2, vcpus=8.0, cairn_s=10.0, stow_s=3.0, **changes)
+        place(led, now)
+        assert len(one.bindings) == 2
+        names = [one.bindings[n].machine.name for n in range(2)]
+        for index, name in enumerate(names):
+            led.on_report(report(name, 2, (f"req-1/{index}", one.attempt, "running")), now + 1)
+        return one, names
+
+    def test_members_share_an_attempt_and_are_done_together(self) -> None:
+        led = ready()
+        one, names = self.gang(led)
+        led.on_report(report(names[0], 3, ("req-1/0", one.attempt, "exited", "done")), 2.0)
+        assert one.complete
+        orders = led.on_report(report(names[1], 3, ("req-1/1", one.attempt, "running")), 2.0)
+        assert orders == [], "the rest of a gang that is done ends by itself"
+
+    def test_a_lost_member_ends_the_attempt_and_the_rest_must_be_gone_first(self) -> None:
+        led = ready()
+        one, names = self.gang(led)
+        old = one.attempt
+        machine(led, "m3", 2.0)
+        led.on_report(report(names[0], 9, tenure=2), 3.0)
+        place(led, 4.0)
+        assert list(one.bindings) == [1], "no start while the old attempt is on a machine"
+        orders = led.on_report(report(names[1], 3, ("req-1/1", old, "running")), 4.0)
+        assert verbs(orders) == [("stop", "req-1/1")]
+        led.on_report(report(names[1], 4, ("req-1/1", old, "exited", "mates_gone")), 5.0)
+        place(led, 9.0)
+        assert len(one.bindings) == 2 and one.attempt > old
+
+    def test_an_orderly_stop_tells_every_member_with_its_grace(self) -> None:
+        led = ready()
+        one, names = self.gang(led)
+        led.stop_gang(one, 3.0, "test")
+        for index, name in enumerate(names):
+            orders = led.on_report(
+                report(name, 3, (f"req-1/{index}", one.attempt, "running")), 2.0)
+            assert [o["leeway_s"] for o in orders or []] == [3.0]
+        saving = report(names[0], 4, ("req-1/0", one.attempt, "flushing"))
+        assert led.on_report(saving, 3.0) == [], "a second stop could end the saving"
+        saved = report(names[0], 5, ("req-1/0", one.attempt, "exited", "halted", True))
+        led.on_report(saved, 4.0)
+        assert one.bindings[1].stop == 3.0, "the others keep their grace"
+
+
+def test_a_machine_that_fails_several_jobs_is_condemned_and_a_bad_job_condemns_none() -> None:
+    led = ready()
+    for n in range(4):
+        machine(led, f"m{n}")
+    bad = job(led, uid="req-5", pieces=1)
+    tally = 2
+    for n in range(4):  # fails everywhere
+        binding = led.bind(bad, 0, led.machines[f"m{n}"], 50 + n, 0.0)
+        led.on_report(report(f"m{n}", tally, ("req-5/0", binding.attempt, "exited", "error")), 1.0)
+    assert not any(m.condemned for m in led.machines.values())
+    for uid in ("req-6", "req-7"):
+        tally += 1
+        good = job(led, uid=uid, pieces=1)
+        led.bind(good, 0, led.machines["m0"], 90 + tally, 0.0)
+        led.on_report(report("m0", tally, (f"{uid}/0", 90 + tally, "exited", "error")), 2.0)
+    assert [m.name for m in led.machines.values() if m.condemned] == ["m0"]
--- /dev/null
+++ b/tests/test_messages.py
@@ -0,0 +1,88 @@
+"""What is refused at the door, and with which word."""
+
+from typing import Any
+
+import cbor2
+import pytest
+
+from salthead.protocol.messages import (
+    MAX_BODY,
+    Malformed,
+    decode_report,
+    decode_submission,
+    split_piece,
+)
+
+GOOD: dict[str, Any] = {
+    "uid": "req-000412", "breed": "train", "crew": "vision", "shape": "gang", "urgency": "urgent",
+    "pieces": 16, "vcpus": 8.0, "accelerators": 1.0, "ram_gb": 64.0, "kit": "img-07",
+    "image_gb": 6.2, "builds": ["g8"], "paddock": None, "same_place": True, "apart": False,
+    "borrowed": True, "guess_s": 240.0, "cairn_s": 30.0, "stow_s": 4.0, "due_s": 900.0,
+}
+
+
+def test_a_good_submission_passes_with_unknown_fields_and_nulls_left_out() -> None:
+    body = {k: v for k, v in GOOD.items() if v is not None} | {"colour": "red", "at": 5.0}
+    job = decode_submission(cbor2.dumps(body))
+    assert (job.uid, job.pieces, job.builds, job.paddock) == ("req-000412", 16, ["g8"], None)
+    assert job.at == 0.0, "the time of submission is ours to set"
+
+
+@pytest.mark.parametrize(
+    ("change", "named"),
+    [
+        ({"uid": "job-1"}, "uid"),
+        ({"uid": "req-"}, "uid"),
+        ({"uid": "req-1/2"}, "uid"),
+        ({"uid": 7}, "uid"),
+        ({"uid": None}, "uid"),
+        ({"shape": "ring"}, "shape"),
+        ({"urgency": "now"}, "urgency"),
+        ({"pieces": 0}, "pieces"),
+        ({"pieces": 100_001}, "pieces"),
+        ({"pieces": 2.5}, "pieces"),
+        ({"vcpus": -1.0}, "vcpus"),
+        ({"vcpus": float("nan")}, "vcpus"),
+        ({"ram_gb": float("inf")}, "ram_gb"),
+        ({"vcpus": "8"}, "vcpus"),
+        ({"builds": "g8"}, "builds"),
+        ({"borrowed": "yes"}, "borrowed"),
+        ({"due_s": -3.0}, "due_s"),
+        ({"crew": ""}, "crew"),
+        ({"vcpus": 0.0, "accelerators": 0.0, "ram_gb": 0.0}, "vcpus"),
+        ({"breed": "b" * 300}, "breed"),
+    ],
+)
+def test_a_bad_field_is_named(change: dict[str, Any], named: str) -> None:
+    with pytest.raises(Malformed, match=named):
+        decode_submission(cbor2.dumps(GOOD | change))
+
+
+@pytest.mark.parametrize(
+    "body",
+    [b"", b"\xff\xff", cbor2.dumps([1]), cbor2.dumps({1: 2}), cbor2.dumps("x"),
+     cbor2.dumps(GOOD | {"kit": "k" * MAX_BODY})],
+)
+def test_what_is_not_a_small_map_is_malformed(body: bytes) -> None:
+    with pytest.raises(Malformed):
+        decode_submission(body)
+
+
+@pytest.mark.parametrize(
+    "body",
+    [{}, {"saltlick": "h", "tenure": 0, "tally": 1}, {"saltlick": "h", "tenure": 1, "tally": "x"},
+     {"saltlick": "h", "tenure": 1, "tally": 1, "pieces": [{"piece": "req-1/0"}]}],
+)
+def test_bad_reports(body: dict[str, Any]) -> None:
+    with pytest.raises(Malformed):
+        decode_report(cbor2.dumps(body))
+
+
+@pytest.mark.parametrize("text", ["req-1", "req-1/", "req-1/x", "x/1", "req-1/-1", "req-1/²"])
+def test_bad_pieces(text: str) -> None:
+    with pytest.raises(Malformed):
+        split_piece(text)
+
+
+def test_piece_names() -> None:
+    assert split_piece("req-000412/3") == ("req-000412", 3)
--- /dev/null
+++ b/tests/test_placement.py
@@ -0,0 +1,254 @@
+"""The ordinary path, zones, quotas and preemption."""
+
+import random
+
+import pytest
+
+from helpers import job, machine, ready, report
+from salthead.coordination import fleet, placement, preemption
+from salthead.coordination.ledger import Ledger
+
+
+def place(led: Ledger, now: float = 0.0, seed: int = 1):
+    return placement.place(led, random.Random(seed), now)
+
+
+@pytest.mark.parametrize(
+    ("kind", "changes", "fits"),
+    [
+        ({}, {}, True),
+        ({"zone": "south"}, {"paddock": "north"}, False),
+        ({"zone": "south"}, {"paddock": "south"}, True),
+        ({"build": "big"}, {"builds": ["small"]}, False),
+        ({"build": "big"}, {"builds": ["small", "big"]}, True),
+        ({"borrowed": True}, {"borrowed": False}, False),
+        ({"borrowed": True}, {"borrowed": True}, True),
+        ({}, {"vcpus": 8.5}, False),
+        ({}, {"accelerators": 1.0}, False),
+        ({"build": "big"}, {"accelerators": 1.0}, True),
+        ({}, {"ram_gb": 33.0}, False),
+    ],
+)
+def test_filter(kind: dict, changes: dict, fits: bool) -> None:
+    led = ready()
+    machine(led, "m1", **kind)
+    one = job(led, pieces=1, **changes)
+    place(led)
+    assert bool(one.bindings) == fits
+
+
+@pytest.mark.parametrize(
+    ("spoil", "fits"),
+    [
+        (lambda m: None, True),
+        (lambda m: setattr(m, "rostered", False), False),
+        (lambda m: setattr(m, "joined", False), False),
+        (lambda m: setattr(m, "warn_at", 50.0), False),
+        (lambda m: setattr(m, "condemned", "x"), False),
+        (lambda m: setattr(m, "returning", True), False),
+        (lambda m: setattr(m, "heard", -7.0), False),  # three report periods are 6 s
+        (lambda m: setattr(m, "heard", -5.0), True),
+        (lambda m: (setattr(m, "held_for", "req-8"), setattr(m, "held_until", 9.0)), False),
+        (lambda m: (setattr(m, "held_for", "req-8"), setattr(m, "held_until", -1.0)), True),
+    ],
+)
+def test_only_machines_that_are_certain_are_used(spoil, fits: bool) -> None:
+    led = ready()
+    spoil(machine(led, "m1"))
+    one = job(led, pieces=1)
+    place(led)
+    assert bool(one.bindings) == fits
+
+
+def test_of_two_drawn_the_lower_fullest_dimension_wins() -> None:
+    led = ready()
+    for name, used in (("m1", [4.0, 0.0, 1.0]), ("m2", [2.0, 0.0, 24.0])):
+        machine(led, name).used = used
+    one = job(led, pieces=1)
+    place(led)
+    assert one.bindings[0].machine.name == "m1", "half of the CPUs is less than most of the memory"
+
+
+def test_no_candidate_pauses_and_a_candidate_resets() -> None:
+    led = ready()
+    one = job(led, pieces=1)
+    assert place(led) == [one]
+    assert one.wait_until == led.limits.workers.report_s, "2 s doubling, capped at a report period"
+    machine(led, "m1")
+    assert place(led, 1.0) == [] and not one.bindings
+    place(led, 2.0)
+    assert one.bindings and one.pause == 0.0
+
+
+def test_quota_counts_tasks_on_silent_machines_and_on_their_way_out() -> None:
+    led = ready()
+    for n in range(6):
+        machine(led, f"m{n}")
+    first = job(led, uid="req-1", crew="red", pieces=3, vcpus=8.0)
+    place(led)
+    assert len(first.bindings) == 3
+    second = job(led, uid="req-2", crew="red", pieces=1, vcpus=2.0)
+    led.end_job(first, "aborted")
+    place(led, 3.0)
+    assert not second.bindings, "the cancelled tasks are not known to be gone"
+    led.on_report(report(first.bindings[0].machine.name, 2), 4.0)
+    place(led, 6.0)
+    assert second.bindings
+
+
+@pytest.mark.parametrize(
+    ("flags", "machines", "placed"),
+    [
+        ({"same_place": True}, ["north", "south"], 0),
+        ({"same_place": True}, ["north", "south", "south"], 2),
+        ({"apart": True}, ["south", "south"], 0),
+        ({"apart": True}, ["north", "south"], 2),
+        ({}, ["north", "south"], 2),
+        ({"paddock": "south"}, ["north", "south", "south"], 2),
+    ],
+)
+def test_zones_of_gangs(flags: dict, machines: list[str], placed: int) -> None:
+    led = ready()
+    for n, zone in enumerate(machines):
+        machine(led, f"m{n}", zone=zone)
+    one = job(led, shape="gang", pieces=2, vcpus=8.0, **flags)
+    place(led)
+    assert len(one.bindings) == placed
+    if not placed:
+        assert all(m.used == [0.0, 0.0, 0.0] for m in led.machines.values()), "released"
+
+
+def test_zones_of_arrays_follow_the_tasks_that_are_still_there() -> None:
+    led = ready()
+    machine(led, "m1", zone="north")
+    machine(led, "m2", zone="south")
+    together = job(led, uid="req-1", pieces=4, vcpus=3.0, same_place=True)
+    place(led)
+    assert len({b.machine.zone for b in together.bindings.values()}) == 1
+    assert len(together.bindings) == 2
+
+
+def test_apart_keeps_half_rounded_up_in_a_zone() -> None:
+    led = ready()
+    machine(led, "m1", build="big")
+    one = job(led, pieces=5, vcpus=1.0, apart=True)
+    place(led)
+    assert len(one.bindings) == 3
+
+
+@pytest.mark.parametrize(
+    ("mine", "theirs", "stopped"),
+    [
+        ({"urgency": "urgent"}, {"urgency": "idle"}, True),
+        ({"urgency": "urgent"}, {"urgency": "urgent"}, False),
+        ({"urgency": "idle"}, {"urgency": "normal"}, False),
+        # within a guarantee, against a team beyond its own: any urgency
+        ({"urgency": "idle", "crew": "red"}, {"urgency": "prod", "vcpus": 4.0, "pieces": 8}, True),
+        # against a team within its own guarantee: none
+        ({"urgency": "idle", "crew": "red"}, {"urgency": "prod", "vcpus": 4.0, "pieces": 4}, False),
+    ],
+)
+def test_who_may_be_stopped(mine: dict, theirs: dict, stopped: bool) -> None:
+    led = ready()
+    other = job(led, uid="req-9", at=1.0, **({"pieces": 4} | theirs))
+    cpus = other.need[0] * other.spec.pieces
+    for n in range(int(cpus // 8)):
+        machine(led, f"m{n}")
+    place(led)
+    assert len(other.bindings) == other.spec.pieces
+    one = job(led, uid="req-1", at=2.0, **({"pieces": 1, "vcpus": 4.0} | mine))
+    preemption.preempt(led, place(led, 1.0), 1.0)
+    assert any(b.stop is not None for b in other.bindings.values()) == stopped
+    assert any(m.held_for == one.uid for m in led.machines.values()) == stopped
+
+
+def test_room_made_is_kept_for_the_job_it_was_made_for() -> None:
+    led = ready()
+    machine(led, "m1")
+    other = job(led, uid="req-9", urgency="idle", pieces=4, at=1.0)
+    place(led)
+    late = job(led, uid="req-2", urgency="urgent", pieces=1, vcpus=8.0, at=3.0)
+    preemption.preempt(led, place(led, 1.0), 1.0)
+    # the stops are told and the tasks leave; an idle task must not slip in
+    led.on_report(report("m1", 2, *((f"req-9/{n}", b.attempt, "exited", "halted")
+                                    for n, b in list(other.bindings.items()))), 2.0)
+    place(led, 2.5)
+    assert not other.bindings
+    place(led, 3.0)
+    assert late.bindings
+
+
+class TestFleet:
+    def plan(self, led: Ledger, now: float = 0.0, refusals=None) -> fleet.Plan:
+        return fleet.plan(led, now, refusals or fleet.Refusals(), {}, 60.0)
+
+    def test_the_cheapest_kind_that_suits_is_hired_for_what_finds_no_room(self) -> None:
+        led = ready()
+        job(led, pieces=4, vcpus=8.0, guess_s=100.0)
+        hires = self.plan(led).hires
+        assert sum(hires.values()) == 4
+        assert all(not kind[2] and led.builds[kind[0]] == "small" for kind in hires)
+        led.jobs["req-1"].spec.borrowed = True
+        assert all(kind[2] for kind in self.plan(led).hires)
+
+    def test_short_tasks_share_places(self) -> None:
+        led = ready()
+        job(led, pieces=4, vcpus=8.0, guess_s=15.0)
+        assert sum(self.plan(led).hires.values()) == 1
+
+    def test_booting_machines_count_and_the_teams_limit_binds(self) -> None:
+        led = ready()
+        job(led, crew="red", pieces=50, vcpus=8.0, guess_s=100.0)
+        assert sum(self.plan(led).hires.values()) == 3
+        led.add_machine("h1", "small", "north", False, 0.0)
+        assert sum(self.plan(led).hires.values()) == 2
+
+    def test_a_refused_kind_is_left_alone_for_a_while(self) -> None:
+        led = ready()
+        job(led, pieces=1, guess_s=100.0, builds=["small"], paddock="north")
+        refusals = fleet.Refusals()
+        (kind,) = self.plan(led, 0.0, refusals).hires
+        refusals.refused(kind, 0.0)
+        assert not self.plan(led, 1.0, refusals).hires
+        assert self.plan(led, 60.0, refusals).hires
+
+    @pytest.mark.parametrize(
+        ("spoil", "now", "back"),
+        [
+            (lambda led: machine(led, "m1"), 30.0, False),
+            (lambda led: machine(led, "m1"), 61.0, True),
+            (lambda led: setattr(machine(led, "m1"), "condemned", "sick"), 1.0, True),
+            (lambda led: setattr(machine(led, "m1"), "phase", "lost"), 1.0, True),
+            (lambda led: led.add_machine("m1", "small", "north", False, 0.0), 50.0, False),
+            (lambda led: led.add_machine("m1", "small", "north", False, 0.0), 61.0, True),
+        ],
+    )
+    def test_returns(self, spoil, now: float, back: bool) -> None:
+        led = ready()
+        spoil(led)
+        assert bool(self.plan(led, now).returns) == back
+
+    def test_a_busy_machine_stays(self) -> None:
+        led = ready()
+        machine(led, "m1")
+        job(led, pieces=1)
+        place(led)
+        assert not self.plan(led, 500.0).returns
+
+
+@pytest.mark.parametrize(
+    ("left", "cairn_s", "stopped"),
+    [(20.0, 10.0, False), (6.0, 10.0, True), (6.0, 0.0, False), (3.0, 0.0, True)],
+)
+def test_tasks_on_a_machine_that_is_taken_stop_in_time(
+    left: float, cairn_s: float, stopped: bool
+) -> None:
+    led = ready()
+    machine(led, "m1", borrowed=True)
+    one = job(led, pieces=1, borrowed=True, cairn_s=cairn_s, stow_s=3.0 if cairn_s else 0.0)
+    place(led)
+    attempt = one.bindings[0].attempt
+    led.on_report(report("m1", 2, ("req-1/0", attempt, "running"), borrowed=True,
+                         warning_s=left), 1.0)
+    preemption.drain(led, 1.0)
+    assert (one.bindings[0].stop is not None) == stopped
--- /dev/null
+++ b/tests/test_records.py
@@ -0,0 +1,38 @@
+"""Records: what is written fits, and reads back as it was."""
+
+import cbor2
+import pytest
+
+from helpers import spec
+from salthead.bookkeeping import records
+from salthead.protocol.messages import Malformed
+
+
+@pytest.mark.parametrize(
+    ("indices", "ranges"),
+    [([], []), ([3], [[3, 3]]), ([1, 2, 3, 7], [[1, 3], [7, 7]]), ([5, 4, 9], [[4, 5], [9, 9]])],
+)
+def test_ranges(indices: list[int], ranges: list[list[int]]) -> None:
+    assert records.to_ranges(indices) == ranges
+    assert records.from_ranges(ranges) == sorted(indices)
+
+
+@pytest.mark.parametrize("value_kb", [1.0, 4.0, 16.0])
+def test_the_worst_stretch_fits_into_a_value(value_kb: float) -> None:
+    size = records.part_size(value_kb)
+    worst = records.to_ranges(range(0, size, 2))
+    import json
+
+    assert len(json.dumps(worst)) <= value_kb * 1024
+
+
+@pytest.mark.parametrize("value", [None, 5, [], {"phase": "queued"}, {"phase": "done"}])
+def test_a_malformed_outcome_is_refused(value: object) -> None:
+    with pytest.raises(Malformed):
+        records.over_from(value)
+
+
+def test_a_record_reads_back() -> None:
+    one = spec(builds=["small"], due_s=5.0)
+    stored = cbor2.loads(cbor2.dumps(records.over_value(one, "done")))
+    assert records.over_from(stored) == ("done", one)
--- /dev/null
+++ b/tests/test_settings.py
@@ -0,0 +1,77 @@
+"""The settings file: what is refused, and how it is said."""
+
+from pathlib import Path
+
+import pytest
+from click.testing import CliRunner
+
+from salthead.cli import main
+from salthead.settings import SettingsError, load
+
+GOOD = """
+member = "n0"
+area = "a"
+client_listen = "127.0.0.1:8080"
+cluster_listen = "127.0.0.1:8081"
+unheard_of = 3
+[endpoints]
+cloud = "127.0.0.1:1"
+state = "127.0.0.1:2"
+[settings]
+zones = ["a"]
+new_field = "x"
+[settings.workers]
+report_s = 1
+lease_s = 11.0
+gang_wait_s = 40.0
+gang_peer_s = 5.0
+cancel_s = 36.0
+[settings.state]
+rps = 60.0
+write_rps = 20.0
+value_kb = 4.0
+txn_ops = 12
+[settings.cloud]
+rps = 4.0
+list_lag_s = 8.0
+"""
+
+
+def test_unknown_fields_are_ignored(tmp_path: Path) -> None:
+    path = tmp_path / "s.toml"
+    path.write_text(GOOD)
+    assert load(path).settings.workers.report_s == 1.0
+
+
+@pytest.mark.parametrize(
+    ("old", "new", "named"),
+    [
+        ('member = "n0"', "", "member"),
+        ('member = "n0"', "member = 5", "$.member"),
+        ('member = "n0"', 'member = ""', "member"),
+        ("lease_s = 11.0", 'lease_s = "long"', "$.settings.workers.lease_s"),
+        ("lease_s = 11.0", "lease_s = -1.0", "settings.workers.lease_s"),
+        ("txn_ops = 12", "txn_ops = 1.5", "$.settings.state.txn_ops"),
+        ('zones = ["a"]', "zones = []", "settings.zones"),
+        ('cloud = "127.0.0.1:1"', 'cloud = "nowhere"', "endpoints.cloud"),
+        ('client_listen = "127.0.0.1:8080"', 'client_listen = "127.0.0.1:99999"', "client_listen"),
+        ('member = "n0"', "member = ", "not TOML"),
+    ],
+)
+def test_bad_settings_name_file_and_field(
+    tmp_path: Path, old: str, new: str, named: str
+) -> None:
+    path = tmp_path / "s.toml"
+    assert old in GOOD
+    path.write_text(GOOD.replace(old, new))
+    with pytest.raises(SettingsError) as error:
+        load(path)
+    assert named in str(error.value) and str(path) in str(error.value)
+    assert "\n" not in str(error.value)
+
+
+def test_serve_ends_with_one_line(tmp_path: Path) -> None:
+    result = CliRunner().invoke(main, ["serve", "--config", str(tmp_path / "missing.toml")])
+    assert result.exit_code != 0
+    assert result.output.strip().count("\n") == 0
+    assert "missing.toml" in result.output
