Keep machines that a new leader has not heard from; starts ride on the freeing report

A machine now enters the roster when it first reports; one found there counts as up until its lease must be over. Ruled out: returns for lost leases (no lease had ended).

--- a/src/salthead/coordination/fleet.py
+++ b/src/salthead/coordination/fleet.py
@@ -189,6 +189,8 @@
     if machine.phase == BOOTING:
         flavor = ledger.flavors.get(machine.build)
         boot_s = flavor.boot_s if flavor else LEAST_CHARGE_S
+        if now - ledger.took_over < ledger.limits.workers.lease_s:
+            return ""  # it may be up and not have found this leader yet
         return "never came up" if now - machine.hired_at > BOOT_PATIENCE * boot_s + 10.0 else ""
     if machine.busy() or not ledger.ready:
         return ""
--- a/src/salthead/coordination/ledger.py
+++ b/src/salthead/coordination/ledger.py
@@ -93,6 +93,7 @@
     ghosts: dict[tuple[str, int, int], Binding] = field(default_factory=dict)
     exits: set[tuple[str, int, int]] = field(default_factory=set)
     hired_at: float = 0.0
+    listed: str = ""  # phase in the cloud's list, as last read
     up_at: float = 0.0
     idle_since: float = 0.0
     condemned: str = ""  # why it takes no more tasks and is to be returned
@@ -213,6 +214,8 @@
         self.ghost_jobs: dict[str, int] = {}  # stray tasks by job: such a job starts nothing
         self.deposed_by = 0
         self.on_change: Callable[[], None] = lambda: None
+        # Placement, called between what a report says and the starts that its answer carries.
+        self.on_room: Callable[[float], None] = lambda now: None
         self.recently_gone: dict[str, float] = {}
 
     # -- flavors and jobs ---------------------------------------------------------------
@@ -366,6 +369,12 @@
     def add_machine(
         self, name: str, build: str, zone: str, borrowed: bool, now: float, rostered: bool = False,
     ) -> Machine:
+        """A machine heard of: hired, listed, reporting, or in the roster of an earlier term.
+
+        A machine enters the roster when it first reports. One that a new leader finds there is
+        therefore not booting: it is up until its lease must be over, however long ago it was
+        hired. Taking it for a machine that never came up would return running machines.
+        """
         machine = self.machines.get(name)
         if machine is None:
             index = self.builds.intern(build)
@@ -374,6 +383,8 @@
                 hired_at=now, idle_since=now,
             )
             self.machines[name] = machine
+            if rostered:
+                machine.phase = UP
         machine.rostered = machine.rostered or rostered
         return machine
 
@@ -444,7 +455,7 @@
             log.info("machine %s: session %d", machine.name, report.tenure)
             self._lose_tasks(machine, now, f"{machine.name} lost its lease")
         if machine.phase in (BOOTING, LOST):
-            log.info("machine %s up after %.1f s", machine.name, now - machine.hired_at)
+            log.info("machine %s up, %.1f s after its hire", machine.name, now - machine.hired_at)
             machine.phase = UP
             machine.up_at = machine.idle_since = now
             self.on_change()
@@ -511,14 +522,25 @@
                 # One report is in flight at a time and late answers are dropped, so a report
                 # without the task, newer than the answer that ordered it, is proof.
                 self.release(binding, now, "stopped before it started")
-            elif self.ready and machine.rostered and machine.joined and binding.job is not None:
-                orders.append(start_order(binding.piece, binding.attempt))
         for ghost_key in list(machine.ghosts):
             if ghost_key not in seen_ghosts:
                 self._drop_ghost(machine, ghost_key, now)
         machine.exits = live_exits
+        # Room that this report freed is filled by this answer, not a report period later.
+        self.on_room(now)
+        orders += self._starts(machine)
         return orders[:MAX_ORDERS]
 
+    def _starts(self, machine: Machine) -> list[dict[str, Any]]:
+        """Starts for what is bound to the machine and not seen on it yet."""
+        if not (self.ready and machine.rostered and machine.joined):
+            return []
+        return [
+            start_order(binding.piece, binding.attempt)
+            for binding in machine.bindings.values()
+            if not binding.phase and binding.stop is None
+        ]
+
     def _adopt(
         self, machine: Machine, uid: str, index: int, piece: Piece, now: float
     ) -> Binding | None:
--- a/src/salthead/term.py
+++ b/src/salthead/term.py
@@ -20,7 +20,7 @@
 )
 from salthead.coordination import fleet, placement, preemption
 from salthead.coordination.lease import LeaseClock
-from salthead.coordination.ledger import BOOTING, Job, Ledger, Machine
+from salthead.coordination.ledger import BOOTING, UP, Job, Ledger, Machine
 from salthead.protocol import names
 from salthead.protocol.messages import Hired, Hosts, Malformed, Report, Submission, shape
 from salthead.transport.client import Unanswered
@@ -37,6 +37,7 @@
 # Tasks of an unfinished job are saved at most this often; their ends are kept by the worker.
 PART_GAP_S = 2.0
 IDLE_S = 60.0
+SHOW_S = 10.0
 
 
 class Deposed(Exception):
@@ -57,6 +58,7 @@
         self.clock = clock
         self.ledger = Ledger(node.limits, token, node.now())
         self.ledger.on_change = self.wake
+        self.ledger.on_room = self.decide
         self.ledger.set_flavors(node.flavors.values())
         self.changed = asyncio.Event()
         self.hire_count = 0
@@ -69,6 +71,7 @@
         self.cloud_budget = Budget(node.limits.cloud.rps * 0.7, node.limits.cloud.rps, node.now)
         self.background: set[asyncio.Task[None]] = set()
         self.end_lock = asyncio.Lock()
+        self.shown = -SHOW_S
 
     def valid(self) -> bool:
         return self.clock.valid(self.now())
@@ -221,12 +224,15 @@
             self.changed.clear()
             now = self.now()
             self.ledger.tick(now)
-            if self.valid():
-                starved = placement.place(self.ledger, self.node.rng, now)
-                preemption.preempt(self.ledger, starved, now)
-                preemption.drain(self.ledger, now)
+            self.decide(now)
             await asyncio.sleep(DECIDE_GAP_S)
 
+    def decide(self, now: float) -> None:
+        if self.valid():
+            starved = placement.place(self.ledger, self.node.rng, now)
+            preemption.preempt(self.ledger, starved, now)
+            preemption.drain(self.ledger, now)
+
     # -- outcomes -----------------------------------------------------------------------
 
     async def end_job(self, job: Job, phase: str) -> None:
@@ -307,7 +313,8 @@
     async def roster_loop(self) -> None:
         """A machine's key is durable before the first start is sent to it."""
         while True:
-            fresh = [m for m in self.ledger.machines.values() if not m.rostered]
+            fresh = [
+                m for m in self.ledger.machines.values() if m.phase == UP and not m.rostered]
             fresh = fresh[: self.limits.state.txn_ops]
             if fresh:
                 try:
@@ -321,7 +328,7 @@
                     self.wake()
                 except (Conflict, *TROUBLES) as error:
                     self.node.note("roster", error)
-            await self.node.rest(0.3)
+            await self.node.rest(0.1)
 
     async def list_loop(self) -> None:
         while True:
@@ -355,6 +362,7 @@
                     machine.hired_at = now - host.age_s
                 elif machine.phase == BOOTING:
                     machine.hired_at = min(machine.hired_at, now - host.age_s)
+                machine.listed = host.phase
                 if host.phase == names.FAILED and not machine.condemned:
                     machine.condemned = "failed"
                     log.info("machine %s failed", host.uid)
@@ -383,6 +391,16 @@
             phases[machine.phase] = phases.get(machine.phase, 0) + 1
         for phase in ("up", "booting", "lost"):
             metrics.MACHINES.labels(phase).set(phases.get(phase, 0))
+        now = self.now()
+        if now - self.shown >= SHOW_S:
+            self.shown = now
+            machines = [m for m in self.ledger.machines.values() if m.phase == UP]
+            log.info(
+                "fleet %s; %.0f of %.0f CPUs booked, %d idle; %d jobs, %d tasks waiting, %d bound",
+                phases, sum(m.used[0] for m in machines), sum(m.cap[0] for m in machines),
+                sum(1 for m in machines if not m.busy()), len(self.ledger.jobs),
+                sum(job.waiting() for job in self.ledger.jobs.values()),
+                sum(len(job.bindings) for job in self.ledger.jobs.values()))
         metrics.ACTIVE.set(len(self.ledger.jobs))
         metrics.WAITING.set(sum(job.waiting() for job in self.ledger.jobs.values()))
 
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -228,6 +228,15 @@
         spoil(led)
         assert bool(self.plan(led, now).returns) == back
 
+    def test_a_new_leader_does_not_return_machines_that_it_has_not_heard_from_yet(self) -> None:
+        # Seen on day rough: 15 running machines returned as never having come up.
+        led = ready(now=500.0)
+        led.add_machine("m1", "small", "north", False, 500.0, rostered=True).hired_at = 0.0
+        led.add_machine("m2", "small", "north", False, 500.0).hired_at = 0.0
+        assert not self.plan(led, 501.0).returns
+        led.tick(600.0)
+        assert [m.name for m in self.plan(led, 600.0).returns] == ["m1", "m2"]
+
     def test_a_busy_machine_stays(self) -> None:
         led = ready()
         machine(led, "m1")
