Freed room ends the pause of a waiting task

Cause: with short tasks a place stood empty for up to a report period after each of them. The design's pause stays for draws that nothing could have changed.

--- a/src/salthead/coordination/ledger.py
+++ b/src/salthead/coordination/ledger.py
@@ -141,7 +141,8 @@
     attempt: int = 0  # of a gang, while it is bound
     failed: bool = False  # a gang whose attempt is over, until all its tasks are gone
     over: str = ""  # done or aborted, once that is durable
-    wait_until: float = 0.0
+    wait_until: float = 0.0  # after errors and refusals
+    pause_until: float = 0.0  # after a draw without candidates
     pause: float = 0.0
     error_machines: set[str] = field(default_factory=set)
     first_start: float | None = None
@@ -203,6 +204,7 @@
         self.flavors: dict[int, Flavor] = {}
         self.caps = [(team.cpus_max, team.gpus_max) for team in limits.teams]
         self.guarantees = [(team.cpus, team.gpus) for team in limits.teams]
+        self.room_freed = False  # since the last pass of placement
         self.usage = [[0.0, 0.0] for _ in limits.teams]
         self.jobs: dict[str, Job] = {}
         self.machines: dict[str, Machine] = {}
@@ -305,6 +307,8 @@
 
     def _book(self, machine: Machine, need: Vec, crew: int, sign: float) -> None:
         used = machine.used
+        if sign < 0:
+            self.room_freed = True
         for n in range(3):
             used[n] += sign * need[n]
         if not machine.busy():
@@ -463,6 +467,7 @@
         machine.heard = now
         if report.baton == self.token and not machine.joined:
             machine.joined = True
+            self.room_freed = True
             self.on_change()
         warned = None if report.warning_s is None else now + report.warning_s
         if warned is not None and machine.warn_at is None:
--- a/src/salthead/coordination/placement.py
+++ b/src/salthead/coordination/placement.py
@@ -184,8 +184,11 @@
         return starved
     within = entitled(ledger)
     report_s = ledger.limits.workers.report_s
+    # The pause is for draws that nothing could change. Room that was freed since ends it, or
+    # a place would stand empty for as long as a short task runs.
+    freed, ledger.room_freed = ledger.room_freed, False
     for job in queue(ledger, within):
-        if now < job.wait_until:
+        if now < job.wait_until or (now < job.pause_until and not freed):
             continue
         bound = (place_gang if job.gang else place_array)(ledger, job, rng, now)
         if bound:
@@ -202,5 +205,5 @@
             starved.append(job)
             log.debug("job %s waits: no candidate for %d tasks", job.uid, job.waiting())
         job.pause = min(job.pause * 2 or FIRST_PAUSE_S, report_s)
-        job.wait_until = now + job.pause
+        job.pause_until = now + job.pause
     return starved
