--- a/src/salthead/coordination/fleet.py
+++ b/src/salthead/coordination/fleet.py
@@ -149,7 +149,7 @@
 
 
 def plan(
-    ledger: Ledger, now: float, refusals: Refusals, coming: dict[Kind, int], idle_s: float,
+    ledger: Ledger, now: float, refusals: Refusals, coming: dict[Kind, int], patience_s: float,
 ) -> Plan:
     """The difference between the fleet that the queue wants and the one that is there."""
     result = Plan()
@@ -171,15 +171,52 @@
         counts[slot.kind] += 1
     result.hires = {kind: min(count, HIRE_MOST) for kind, count in counts.items()}
     needed = {slot.machine.name for slot in slots if slot.machine is not None and slot.taken}
+    if ledger.ready:
+        mark_surplus(ledger, needed, now, patience_s)
     result.returns = [
         machine for machine in ledger.machines.values()
-        if not machine.returning and wanted_back(ledger, machine, needed, now, idle_s)
+        if not machine.returning and wanted_back(ledger, machine, needed, now)
     ]
     return result
 
 
+def mark_surplus(ledger: Ledger, needed: set[str], now: float, patience_s: float) -> None:
+    """Cordon machines without which all that runs and waits would have fitted for a while.
+
+    The pair draw spreads tasks over all machines, so that none is ever idle for long and a
+    fleet that was hired for a peak would stay. Tasks are packed, in thought, on the cheapest
+    machines; a machine that stays untouched takes no more tasks and is returned once empty.
+    """
+    up = [m for m in ledger.machines.values()
+          if m.phase == UP and not m.condemned and not m.returning and m.warn_at is None]
+    up.sort(key=lambda m: (price(ledger, (m.build, m.zone, m.borrowed)) / max(m.cap[0], 1e-9),
+                           m.name))
+    slots = [Slot((m.build, m.zone, m.borrowed), list(m.cap), m) for m in up]
+    bound = [b for m in ledger.machines.values() for b in m.bindings.values()
+             if b.job is not None and b.stop is None and not b.job.complete]
+    # The largest first, and of these the ones that suit the fewest kinds of machines.
+    bound.sort(key=lambda b: (-b.need[0], b.job is not None and b.job.spec.borrowed, b.need[2]))
+    for binding in bound:
+        job = binding.job
+        assert job is not None
+        slot = next((s for s in slots if s.fits(binding.need) and suits(job, s.kind)), None)
+        if slot is not None:
+            slot.take(binding.need)
+    for slot in slots:
+        machine = slot.machine
+        assert machine is not None
+        if slot.taken or machine.name in needed or now < machine.held_until:
+            machine.surplus_since = None
+            machine.cordoned = False
+        elif machine.surplus_since is None:
+            machine.surplus_since = now
+        elif now - machine.surplus_since > patience_s and not machine.cordoned:
+            machine.cordoned = True
+            log.info("machine %s is not needed: cordoned", machine.name)
+
+
 def wanted_back(
-    ledger: Ledger, machine: Machine, needed: set[str], now: float, idle_s: float,
+    ledger: Ledger, machine: Machine, needed: set[str], now: float,
 ) -> str:
     """Why the machine should be returned now; empty when it should not."""
     if machine.phase == LOST:
@@ -198,7 +235,7 @@
         return "taken soon"
     if machine.name in needed or (machine.held_for and now < machine.held_until):
         return ""
-    return "idle" if now - machine.idle_since > idle_s else ""
+    return "not needed" if machine.cordoned else ""
 
 
 def _provide(
--- a/src/salthead/coordination/ledger.py
+++ b/src/salthead/coordination/ledger.py
@@ -102,6 +102,8 @@
     held_for: str = ""  # the job for which room is being made here
     held_until: float = 0.0
     returning: bool = False
+    surplus_since: float | None = None  # since when all there is to do would fit elsewhere
+    cordoned: bool = False  # takes no more tasks, so that it empties and can be returned
 
     def room(self) -> Vec:
         return (self.cap[0] - self.used[0], self.cap[1] - self.used[1], self.cap[2] - self.used[2])
--- a/src/salthead/coordination/placement.py
+++ b/src/salthead/coordination/placement.py
@@ -69,6 +69,7 @@
         and machine.joined
         and not machine.condemned
         and not machine.returning
+        and not machine.cordoned
         and machine.warn_at is None
         and now - machine.heard <= FRESH_PERIODS * ledger.limits.workers.report_s
         and now >= machine.error_until
--- a/src/salthead/term.py
+++ b/src/salthead/term.py
@@ -36,7 +36,7 @@
 SAVE_GAP_S = 0.25
 # Tasks of an unfinished job are saved at most this often; their ends are kept by the worker.
 PART_GAP_S = 2.0
-IDLE_S = 60.0
+SURPLUS_S = 40.0
 SHOW_S = 10.0
 
 
@@ -374,7 +374,7 @@
             await self.node.rest(0.5)
             if not self.valid():
                 continue
-            plan = fleet.plan(self.ledger, self.now(), self.refusals, self.coming, IDLE_S)
+            plan = fleet.plan(self.ledger, self.now(), self.refusals, self.coming, SURPLUS_S)
             for kind, count in plan.hires.items():
                 self.spawn(self.hire(kind, count))
             if plan.returns:
