Queue: by the next target that can be met, the largest work behind; learned estimates

Jobs of one rank now go by their next reachable target from the settings' objectives; where the work ahead would miss one, the largest job goes behind (Moore's rule).

--- a/src/salthead/coordination/fleet.py
+++ b/src/salthead/coordination/fleet.py
@@ -27,6 +27,8 @@
 # After a refusal the same kind is asked for again with doubling pauses.
 REFUSED_S, REFUSED_MAX_S = 5.0, 40.0
 HIRE_MOST = 50
+# A machine that was not needed for this part of a boot is worth less than its rent.
+SURPLUS_BOOTS = 1.0
 
 Kind = tuple[int, int, bool]  # type, zone, borrowed
 
@@ -130,7 +132,8 @@
                 job = binding.job
                 if binding.stop is not None or (
                     job is not None and binding.started
-                    and binding.started + job.spec.guess_s < soon
+                    and binding.started + ledger.estimates.run_s(
+                        job.spec.breed, job.spec.guess_s) < soon
                 ):
                     for n in range(3):
                         room[n] += binding.need[n]
@@ -149,7 +152,7 @@
 
 
 def plan(
-    ledger: Ledger, now: float, refusals: Refusals, coming: dict[Kind, int], patience_s: float,
+    ledger: Ledger, now: float, refusals: Refusals, coming: dict[Kind, int],
 ) -> Plan:
     """The difference between the fleet that the queue wants and the one that is there."""
     result = Plan()
@@ -164,7 +167,7 @@
         }
         within = placement.entitled(ledger)
         span = horizon(ledger)
-        for job in placement.queue(ledger, within):
+        for job in placement.queue(ledger, within, now):
             _provide(ledger, job, slots, new, left[job.crew], span, refusals, now)
     counts: dict[Kind, int] = defaultdict(int)
     for slot in new:
@@ -172,7 +175,7 @@
     result.hires = {kind: min(count, HIRE_MOST) for kind, count in counts.items()}
     needed = {slot.machine.name for slot in slots if slot.machine is not None and slot.taken}
     if ledger.ready:
-        mark_surplus(ledger, needed, now, patience_s)
+        mark_surplus(ledger, needed, now)
     result.returns = [
         machine for machine in ledger.machines.values()
         if not machine.returning and wanted_back(ledger, machine, needed, now)
@@ -180,7 +183,7 @@
     return result
 
 
-def mark_surplus(ledger: Ledger, needed: set[str], now: float, patience_s: float) -> None:
+def mark_surplus(ledger: Ledger, needed: set[str], now: float) -> None:
     """Cordon machines without which all that runs and waits would have fitted for a while.
 
     The pair draw spreads tasks over all machines, so that none is ever idle for long and a
@@ -189,6 +192,7 @@
     """
     up = [m for m in ledger.machines.values()
           if m.phase == UP and not m.condemned and not m.returning and m.warn_at is None]
+    up = [m for m in up if m.build in ledger.flavors]
     up.sort(key=lambda m: (price(ledger, (m.build, m.zone, m.borrowed)) / max(m.cap[0], 1e-9),
                            m.name))
     slots = [Slot((m.build, m.zone, m.borrowed), list(m.cap), m) for m in up]
@@ -210,7 +214,9 @@
             machine.cordoned = False
         elif machine.surplus_since is None:
             machine.surplus_since = now
-        elif now - machine.surplus_since > patience_s and not machine.cordoned:
+        elif not machine.cordoned and now - machine.surplus_since > (
+            SURPLUS_BOOTS * ledger.flavors[machine.build].boot_s
+        ):
             machine.cordoned = True
             log.info("machine %s is not needed: cordoned", machine.name)
 
@@ -251,7 +257,8 @@
             return
     else:
         # Short tasks share a place one after the other.
-        count = min(count, math.ceil(count * max(job.spec.guess_s, 1.0) / span))
+        count = min(count, math.ceil(count * ledger.estimates.run_s(
+            job.spec.breed, job.spec.guess_s) / span))
     for n in range(2):
         left[n] -= count * job.need[n]
     kinds = kinds_for(ledger, job, refusals, now)
--- a/src/salthead/coordination/ledger.py
+++ b/src/salthead/coordination/ledger.py
@@ -16,6 +16,7 @@
 from dataclasses import dataclass, field
 from typing import Any
 
+from salthead.coordination.estimates import Estimates
 from salthead.coordination.lease import surely_over
 from salthead.protocol import names
 from salthead.protocol.interning import Interner
@@ -132,7 +133,7 @@
     need: Vec
     builds: frozenset[int] | None
     zone: int | None
-    seen_at: float
+    submitted: float  # in this ledger's steady time
     done: bytearray = field(default_factory=bytearray)
     n_done: int = 0
     saved: set[int] = field(default_factory=set)  # done and known to the state service
@@ -194,12 +195,15 @@
 
 class Ledger:
     def __init__(
-        self, limits: Limits, token: int, now: float,
+        self, limits: Limits, token: int, now: float, wall: float | None = None,
     ) -> None:
         self.limits = limits
         self.token = token
         self.took_over = now
         self.counter = 0
+        # Submission times are kept as times of day; here all else is in steady time.
+        self.wall_ahead = 0.0 if wall is None else wall - now
+        self.estimates = Estimates()
         self.crews = Interner([team.name for team in limits.teams])
         self.zones = Interner(list(limits.zones))
         self.builds = Interner()
@@ -258,7 +262,7 @@
             need=(spec.vcpus, spec.accelerators, spec.ram_gb),
             builds=builds,
             zone=None if spec.paddock is None else self.zones.intern(spec.paddock),
-            seen_at=now,
+            submitted=min(now, spec.at - self.wall_ahead) if spec.at else now,
             done=bytearray(spec.pieces),
         )
         self.jobs[spec.uid] = job
@@ -534,7 +538,8 @@
                 self._drop_ghost(machine, ghost_key, now)
         machine.exits = live_exits
         # Room that this report freed is filled by this answer, not a report period later.
-        self.on_room(now)
+        if self.room_freed:
+            self.on_room(now)
         orders += self._starts(machine)
         return orders[:MAX_ORDERS]
 
@@ -613,6 +618,8 @@
         if cause == names.DONE:
             machine.error_jobs.clear()
             machine.error_until = 0.0
+            if binding.started and not job.gang:
+                self.estimates.learn(job.spec.breed, job.spec.guess_s, now - binding.started)
             self.mark_done(job, binding.index)
         elif cause == names.ERROR:
             self._errored(job, machine, now)
--- /dev/null
+++ b/src/salthead/coordination/order.py
@@ -0,0 +1,66 @@
+"""The order of the queue: as many jobs as can be within their targets, the rest after them.
+
+Under overload, first come first served makes every job late. Within one rank, jobs are taken by
+their next target that can still be met; where the sum of the work ahead would miss one, the job
+with the most work goes behind (Moore's rule), since it costs the others the most.
+"""
+
+from __future__ import annotations
+
+import math
+
+from salthead.coordination.ledger import Job, Ledger
+
+
+def target(ledger: Ledger, job: Job, run_s: float, now: float) -> float:
+    """The latest time at which the job may start and still meet its next target; inf if none."""
+    best = math.inf
+    for aim in ledger.limits.objectives:
+        if aim.breed != job.spec.breed:
+            continue
+        if aim.kind == "deadline" and job.spec.due_s is not None:
+            start_by = job.submitted + job.spec.due_s * aim.times - run_s
+        elif aim.kind == "finished":
+            start_by = job.submitted + aim.within_s - run_s
+        elif aim.kind == "wait" and not job.first_start:
+            start_by = job.submitted + aim.within_s
+        else:
+            continue
+        if start_by >= now:
+            best = min(best, start_by)
+    if best == math.inf and job.spec.due_s is not None:
+        start_by = job.submitted + job.spec.due_s - run_s
+        best = start_by if start_by >= now else math.inf
+    return best
+
+
+def by_targets(ledger: Ledger, jobs: list[Job], rate: float, now: float) -> list[Job]:
+    """One rank's jobs in the order in which they are served; ``rate`` is in CPUs."""
+    rows: list[tuple[float, float, str, float, Job]] = []
+    for job in jobs:
+        run_s = ledger.estimates.run_s(job.spec.breed, job.spec.guess_s)
+        work = job.waiting() * max(job.need[0], 0.1) * run_s
+        rows.append((target(ledger, job, run_s, now), job.submitted, job.uid, work, job))
+    rows.sort(key=lambda row: row[:3])
+    kept: list[tuple[float, float, str, float, Job]] = []
+    behind: list[tuple[float, float, str, float, Job]] = []
+    total = 0.0
+    for row in rows:
+        if row[0] == math.inf:
+            behind.append(row)
+            continue
+        kept.append(row)
+        total += row[3]
+        # The last of its tasks starts when all work ahead of it is done.
+        if now + total / max(rate, 1.0) > row[0]:
+            largest = max(kept, key=lambda one: one[3])
+            kept.remove(largest)
+            behind.append(largest)
+            total -= largest[3]
+    behind.sort(key=lambda row: row[1:3])
+    return [row[4] for row in kept + behind]
+
+
+def rate_of(ledger: Ledger) -> float:
+    """CPUs of all machines that are up or coming."""
+    return sum(m.cap[0] for m in ledger.machines.values() if not m.condemned)
--- a/src/salthead/coordination/placement.py
+++ b/src/salthead/coordination/placement.py
@@ -7,7 +7,9 @@
 import random
 from collections.abc import Iterable
 
+from salthead.coordination import order
 from salthead.coordination.ledger import EPS, UP, Job, Ledger, Machine
+from salthead.protocol import names
 
 log = logging.getLogger("salthead.placement")
 
@@ -30,14 +32,19 @@
     return within
 
 
-def queue(ledger: Ledger, within: set[str]) -> list[Job]:
-    """Jobs with tasks that have no machine: guarantees first, then urgency, then age."""
+def queue(ledger: Ledger, within: set[str], now: float) -> list[Job]:
+    """Jobs with tasks that have no machine: guarantees first, then urgency, then targets."""
     waiting = [
         job for job in ledger.jobs.values()
         if not job.failed and job.uid not in ledger.ghost_jobs and job.waiting() > 0
     ]
-    waiting.sort(key=lambda job: (job.uid not in within, job.rank, job.spec.at, job.uid))
-    return waiting
+    first = [job for job in waiting if job.uid in within]
+    first.sort(key=lambda job: (job.rank, job.spec.at, job.uid))
+    rate = order.rate_of(ledger)
+    for rank in range(len(names.URGENCIES)):
+        same = [job for job in waiting if job.rank == rank and job.uid not in within]
+        first += order.by_targets(ledger, same, rate, now)
+    return first
 
 
 def quota_left(ledger: Ledger, job: Job) -> int:
@@ -188,7 +195,7 @@
     # The pause is for draws that nothing could change. Room that was freed since ends it, or
     # a place would stand empty for as long as a short task runs.
     freed, ledger.room_freed = ledger.room_freed, False
-    for job in queue(ledger, within):
+    for job in queue(ledger, within, now):
         if now < job.wait_until or (now < job.pause_until and not freed):
             continue
         bound = (place_gang if job.gang else place_array)(ledger, job, rng, now)
--- a/src/salthead/term.py
+++ b/src/salthead/term.py
@@ -5,6 +5,7 @@
 import asyncio
 import contextlib
 import logging
+import time
 from collections.abc import Coroutine
 from typing import TYPE_CHECKING, Any
 
@@ -36,7 +37,6 @@
 SAVE_GAP_S = 0.25
 # Tasks of an unfinished job are saved at most this often; their ends are kept by the worker.
 PART_GAP_S = 2.0
-SURPLUS_S = 40.0
 SHOW_S = 10.0
 
 
@@ -56,7 +56,7 @@
         self.stamp = stamp
         self.tether = tether
         self.clock = clock
-        self.ledger = Ledger(node.limits, token, node.now())
+        self.ledger = Ledger(node.limits, token, node.now(), time.time())
         self.ledger.on_change = self.wake
         self.ledger.on_room = self.decide
         self.ledger.set_flavors(node.flavors.values())
@@ -374,7 +374,7 @@
             await self.node.rest(0.5)
             if not self.valid():
                 continue
-            plan = fleet.plan(self.ledger, self.now(), self.refusals, self.coming, SURPLUS_S)
+            plan = fleet.plan(self.ledger, self.now(), self.refusals, self.coming)
             for kind, count in plan.hires.items():
                 self.spawn(self.hire(kind, count))
             if plan.returns:
--- /dev/null
+++ b/tests/test_order.py
@@ -0,0 +1,59 @@
+"""The order of the queue, and estimates that are learned."""
+
+import pytest
+
+from helpers import job, ready
+from salthead.coordination import order, placement
+from salthead.coordination.estimates import Estimates
+from salthead.coordination.ledger import Ledger
+
+AIMS = [{"kind": "deadline", "class": "b", "share": 0.9, "times": 1.0},
+        {"kind": "finished", "class": "c", "within_s": 300.0, "share": 0.9}]
+
+
+def served(led: Ledger, now: float = 0.0) -> list[str]:
+    return [one.uid for one in placement.queue(led, set(), now)]
+
+
+@pytest.mark.parametrize(
+    ("jobs", "rate", "expected"),
+    [
+        # both can be met: the earlier target first
+        ([("req-1", 4, 100.0), ("req-2", 4, 60.0)], 32, ["req-2", "req-1"]),
+        # not both: the one with the most work goes behind, whenever it came
+        ([("req-1", 20, 60.0), ("req-2", 4, 60.0)], 8, ["req-2", "req-1"]),
+        # what can't be met any more comes after what can
+        ([("req-1", 4, 10.0), ("req-2", 4, 60.0)], 32, ["req-2", "req-1"]),
+    ],
+)
+def test_order(jobs: list[tuple[str, int, float]], rate: float, expected: list[str]) -> None:
+    led = ready(objectives=AIMS)
+    led.add_machine("m", "small", "north", False, 0.0).cap = (rate, 0.0, 999.0)
+    for uid, pieces, due_s in jobs:
+        job(led, uid=uid, pieces=pieces, due_s=due_s, at=0.0, guess_s=20.0)
+    assert served(led) == expected
+
+
+def test_urgency_comes_before_targets() -> None:
+    led = ready(objectives=AIMS)
+    job(led, uid="req-1", due_s=30.0)
+    job(led, uid="req-2", urgency="urgent", due_s=None)
+    assert served(led) == ["req-2", "req-1"]
+
+
+def test_a_class_without_deadlines_has_its_aims_for_targets() -> None:
+    led = ready(objectives=AIMS)
+    one = job(led, breed="c", due_s=None, at=0.0)
+    assert order.target(led, one, 20.0, 10.0) == 280.0
+    assert order.target(led, one, 20.0, 290.0) == float("inf")
+
+
+def test_estimates_follow_what_was_seen() -> None:
+    estimates = Estimates()
+    assert estimates.run_s("b", 20.0) == 20.0
+    for _ in range(200):
+        estimates.learn("b", 20.0, 40.0)
+    assert 36.0 < estimates.run_s("b", 20.0) < 40.0
+    assert estimates.run_s("other", 20.0) == 20.0
+    estimates.learn("b", 0.0, 5.0)  # an owner without an estimate teaches nothing
+    assert estimates.run_s("b", 0.0) == 1.0
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -181,7 +181,7 @@
 
 class TestFleet:
     def plan(self, led: Ledger, now: float = 0.0, refusals=None) -> fleet.Plan:
-        return fleet.plan(led, now, refusals or fleet.Refusals(), {}, 60.0)
+        return fleet.plan(led, now, refusals or fleet.Refusals(), {})
 
     def test_the_cheapest_kind_that_suits_is_hired_for_what_finds_no_room(self) -> None:
         led = ready()
@@ -246,13 +246,13 @@
         for index, name in enumerate(("m0", "m1")):
             led.bind(one, index, led.machines[name], 9, 0.0)
         assert not self.plan(led, 1.0).returns
-        assert not self.plan(led, 62.0).returns, "both still work"
+        assert not self.plan(led, 22.0).returns, "both still work"
         assert [m.name for m in led.machines.values() if m.cordoned] == ["m0", "m1"]
-        led.on_report(report("m0", 2, ("req-1/0", 9, "exited", "done")), 63.0)
-        assert [m.name for m in self.plan(led, 64.0).returns] == ["m0"]
+        led.on_report(report("m0", 2, ("req-1/0", 9, "exited", "done")), 23.0)
+        assert [m.name for m in self.plan(led, 24.0).returns] == ["m0"]
         # what comes in is counted: more work takes the cordon back
         job(led, uid="req-2", pieces=7, guess_s=100.0)
-        self.plan(led, 65.0)
+        self.plan(led, 25.0)
         assert not led.machines["m1"].cordoned
 
     def test_a_busy_machine_stays(self) -> None:
