--- a/src/salthead/coordination/ledger.py
+++ b/src/salthead/coordination/ledger.py
@@ -11,7 +11,7 @@
 
 import logging
 import math
-from collections import deque
+from collections import OrderedDict, deque
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field
 from typing import Any
@@ -104,6 +104,7 @@
     held_until: float = 0.0
     returning: bool = False
     surplus_since: float | None = None  # since when all there is to do would fit elsewhere
+    images: OrderedDict[str, float] = field(default_factory=OrderedDict)  # in its cache, by use
     cordoned: bool = False  # takes no more tasks, so that it empties and can be returned
 
     def room(self) -> Vec:
@@ -121,6 +122,13 @@
         """The largest booked share of CPUs, GPUs or memory."""
         return max((u / c if c > 0 else 0.0) for u, c in zip(self.used, self.cap, strict=True))
 
+    def has_image(self, name: str, size_gb: float, cache_gb: float) -> None:
+        """A task that has its image was seen: the cache keeps the most recently used ones."""
+        self.images[name] = size_gb
+        self.images.move_to_end(name)
+        while len(self.images) > 1 and sum(self.images.values()) > cache_gb > 0:
+            self.images.popitem(last=False)
+
     def busy(self) -> bool:
         return bool(self.bindings or self.ghosts)
 
@@ -519,6 +527,7 @@
                     if binding.job.first_start is None:
                         binding.job.first_start = now
                 binding.phase = piece.phase
+                self._image_seen(binding)
             if binding.stop is not None and (
                 piece.phase != names.FLUSHING or binding.stop == 0.0
             ):
@@ -553,6 +562,13 @@
             if not binding.phase and binding.stop is None
         ]
 
+    def _image_seen(self, binding: Binding) -> None:
+        spec = binding.job.spec if binding.job else None
+        if spec is not None and spec.kit and binding.phase in (names.RUNNING, names.GATHERING):
+            flavor = self.flavors.get(binding.machine.build)
+            binding.machine.has_image(
+                spec.kit, spec.image_gb, flavor.local_gb if flavor else 0.0)
+
     def _adopt(
         self, machine: Machine, uid: str, index: int, piece: Piece, now: float
     ) -> Binding | None:
--- a/src/salthead/coordination/placement.py
+++ b/src/salthead/coordination/placement.py
@@ -105,7 +105,14 @@
     return not (job.spec.apart and counts.get(zone, 0) >= (job.spec.pieces + 1) // 2)
 
 
-def draw(candidates: list[Machine], rng: random.Random) -> Machine:
+def draw(job: Job, candidates: list[Machine], rng: random.Random) -> Machine:
+    """Two at random, the lower fullest dimension wins, among those that have the image if any.
+
+    Without that filter a fetch, often longer than the task, precedes the first task of each
+    image on each machine, and the start misses a guarantee that free room could have kept.
+    """
+    near = [m for m in candidates if job.spec.kit in m.images] if job.spec.kit else []
+    candidates = near or candidates
     if len(candidates) == 1:
         return candidates[0]
     one, other = rng.sample(candidates, 2)
@@ -134,7 +141,7 @@
         index = job.take()
         if index is None:
             break
-        machine = draw(candidates, rng)
+        machine = draw(job, candidates, rng)
         ledger.bind(job, index, machine, ledger.next_attempt(), now)
         counts[machine.zone] = counts.get(machine.zone, 0) + 1
         bound += 1
@@ -169,7 +176,7 @@
         candidates = [m for m in base if m.fits(job.need) and zone_open(job, m.zone, counts)]
         if not candidates:
             break
-        machine = draw(candidates, rng)
+        machine = draw(job, candidates, rng)
         for n in range(3):  # a booking that only later members of the draw see
             machine.used[n] += job.need[n]
         counts[machine.zone] = counts.get(machine.zone, 0) + 1
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -69,6 +69,31 @@
     assert one.bindings[0].machine.name == "m1", "half of the CPUs is less than most of the memory"
 
 
+def test_machines_that_have_the_image_are_drawn_first() -> None:
+    led = ready()
+    for name in ("m1", "m2", "m3"):
+        machine(led, name)
+    first = job(led, uid="req-1", pieces=1, kit="i", image_gb=1.0)
+    place(led)
+    name, attempt = first.bindings[0].machine.name, first.bindings[0].attempt
+    fetching = report(name, 2, ("req-1/0", attempt, "fetching"))
+    led.on_report(fetching, 1.0)
+    assert "i" not in led.machines[name].images
+    led.on_report(report(name, 3, ("req-1/0", attempt, "running")), 2.0)
+    second = job(led, uid="req-2", pieces=4, kit="i", image_gb=1.0)
+    place(led, 2.0)
+    where = [binding.machine.name for binding in second.bindings.values()]
+    assert where.count(name) == 3 and len(where) == 4, "and others once it is full"
+
+
+def test_the_cache_forgets_the_image_used_longest_ago() -> None:
+    led = ready()
+    m1 = machine(led, "m1")
+    for name in ("a", "b", "a", "c"):
+        m1.has_image(name, 4.0, 10.0)
+    assert list(m1.images) == ["a", "c"]
+
+
 def test_no_candidate_pauses_and_a_candidate_resets() -> None:
     led = ready()
     one = job(led, pieces=1)
