--- /dev/null
+++ b/src/salthead/coordination/gangs.py
@@ -0,0 +1,84 @@
+"""Room for gangs: the known break of the design, and its exception.
+
+Choosing by the fullest dimension scatters free room, so a gang, or a task nearly as large as a
+machine, finds no candidate though much is free. When that has happened, machines that will have
+room soonest are kept: a filter hides them from other jobs of the same or a lower urgency.
+"""
+
+from __future__ import annotations
+
+import logging
+import math
+
+from salthead.coordination import order, placement
+from salthead.coordination.ledger import EPS, Job, Ledger, Machine
+
+log = logging.getLogger("salthead.gangs")
+
+
+def room_at(ledger: Ledger, machine: Machine, job: Job, now: float) -> float | None:
+    """When the machine should have room for one task of the job; None if never."""
+    if any(c + EPS < n for c, n in zip(machine.cap, job.need, strict=True)):
+        return None
+    left = list(machine.room())
+    ends = []
+    for binding in machine.bindings.values():
+        other = binding.job
+        run_s = 0.0 if other is None else ledger.estimates.run_s(
+            other.spec.breed, other.spec.guess_s)
+        ends.append((max(now, (binding.started or now) + run_s), binding.need))
+    ends.sort(key=lambda pair: pair[0])
+    at = now
+    for end, need in ends:
+        if all(left[n] + EPS >= job.need[n] for n in range(3)):
+            break
+        at = end
+        for n in range(3):
+            left[n] += need[n]
+    return at if all(left[n] + EPS >= job.need[n] for n in range(3)) else None
+
+
+def keep_room(ledger: Ledger, starved: list[Job], now: float) -> None:
+    """Keep machines for each gang that found no candidates: all that it needs, or none."""
+    # Renewed at each of the gang's draws, which are at most a pause apart.
+    until = now + 3.0 * ledger.limits.workers.report_s
+    for job in starved:
+        if not job.gang or placement.quota_left(ledger, job) < job.spec.pieces:
+            continue
+        # Kept room stands empty, so it is kept no earlier than the gang's own target asks.
+        run_s = ledger.estimates.run_s(job.spec.breed, job.spec.guess_s)
+        start_by = order.target(ledger, job, run_s, now)
+        if start_by < math.inf and now - job.submitted < 0.5 * (start_by - job.submitted):
+            continue
+        rows = []
+        for machine in placement.base_candidates(ledger, job, now):
+            at = room_at(ledger, machine, job, now)
+            if at is not None:
+                rows.append((machine.held_for != job.uid, at, machine.name, machine))
+        rows.sort(key=lambda row: row[:3])
+        zones = sorted({row[3].zone for row in rows}) if job.spec.same_place else [None]
+        chosen: list[Machine] = []
+        for zone in zones:
+            found: list[Machine] = []
+            counts: dict[int, int] = {}
+            for _, _, _, machine in rows:
+                if len(found) == job.spec.pieces:
+                    break
+                if zone in (None, machine.zone) and placement.zone_open(
+                    job, machine.zone, counts
+                ):
+                    found.append(machine)
+                    counts[machine.zone] = counts.get(machine.zone, 0) + 1
+            if len(found) == job.spec.pieces and (
+                not chosen or _kept(found, job) > _kept(chosen, job)
+            ):
+                chosen = found
+        for machine in chosen:
+            if machine.held_for != job.uid:
+                log.info("machine %s is kept for gang %s", machine.name, job.uid)
+            machine.held_for = job.uid
+            machine.held_until = max(machine.held_until, until)
+
+
+def _kept(machines: list[Machine], job: Job) -> int:
+    return sum(1 for machine in machines if machine.held_for == job.uid)
--- a/src/salthead/term.py
+++ b/src/salthead/term.py
@@ -19,7 +19,7 @@
     drop,
     put,
 )
-from salthead.coordination import fleet, placement, preemption
+from salthead.coordination import fleet, gangs, placement, preemption
 from salthead.coordination.lease import LeaseClock
 from salthead.coordination.ledger import BOOTING, UP, Job, Ledger, Machine
 from salthead.protocol import names
@@ -231,6 +231,7 @@
         if self.valid():
             starved = placement.place(self.ledger, self.node.rng, now)
             preemption.preempt(self.ledger, starved, now)
+            gangs.keep_room(self.ledger, starved, now)
             preemption.drain(self.ledger, now)
 
     # -- outcomes -----------------------------------------------------------------------
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -5,7 +5,7 @@
 import pytest
 
 from helpers import job, machine, ready, report
-from salthead.coordination import fleet, placement, preemption
+from salthead.coordination import fleet, gangs, placement, preemption
 from salthead.coordination.ledger import Ledger
 
 
@@ -204,6 +204,53 @@
     assert late.bindings
 
 
+class TestKeepingRoom:
+    def crowd(self, led: Ledger, machines: int = 2) -> None:
+        """Every machine half full of small tasks, a gang of two whole ones waiting."""
+        for n in range(machines):
+            machine(led, f"m{n}")
+            small = job(led, uid=f"req-{n + 10}", pieces=2, guess_s=10.0 * (n + 1))
+            for index in range(2):
+                led.bind(small, index, led.machines[f"m{n}"], 5, 0.0)
+
+    def test_a_starved_gang_gets_machines_that_others_then_leave_alone(self) -> None:
+        # Seen on rough, moana-buoys: a third of the large tasks started in time.
+        led = ready()
+        self.crowd(led, 3)
+        gang = job(led, uid="req-1", shape="gang", pieces=2, vcpus=8.0)
+        gangs.keep_room(led, place(led), 0.0)
+        late = job(led, uid="req-2", pieces=8, at=2000.0)
+        place(led)
+        kept = [m.name for m in led.machines.values() if m.held_for == "req-1"]
+        assert kept == ["m0", "m1"], "those that are free first"
+        before = dict(late.bindings)
+        led.room_freed = True
+        for name in kept:
+            led.on_report(report(name, 2, *((f"req-{int(name[1]) + 10}/{n}", 5, "exited", "done")
+                                            for n in range(2))), 1.0)
+        place(led, 1.5)
+        assert len(gang.bindings) == 2 and late.bindings == before
+
+    def test_room_is_kept_only_once_half_of_the_wait_is_gone(self) -> None:
+        led = ready(objectives=[{"kind": "wait", "class": "b", "within_s": 100.0, "share": 0.9}])
+        self.crowd(led)
+        gang = job(led, uid="req-1", shape="gang", pieces=2, vcpus=8.0, at=0.0)
+        gangs.keep_room(led, [gang], 0.0)
+        assert not any(m.held_for for m in led.machines.values())
+        for name in ("m0", "m1"):
+            led.on_report(report(name, 2, *((f"req-{int(name[1]) + 10}/{n}", 5, "running")
+                                            for n in range(2))), 60.0)
+        gangs.keep_room(led, [gang], 60.0)
+        assert all(m.held_for for m in led.machines.values())
+
+    def test_all_or_none(self) -> None:
+        led = ready()
+        self.crowd(led, 1)
+        gang = job(led, uid="req-1", shape="gang", pieces=2, vcpus=8.0)
+        gangs.keep_room(led, [gang], 0.0)
+        assert not any(m.held_for for m in led.machines.values())
+
+
 class TestFleet:
     def plan(self, led: Ledger, now: float = 0.0, refusals=None) -> fleet.Plan:
         return fleet.plan(led, now, refusals or fleet.Refusals(), {})
