Takeover: join machines directly, return the few that stay silent, start new jobs meanwhile

Now the new leader calls every machine of the roster (its token, no orders); after a report period and 1 s, up to 15% that are still silent are returned rather than waited for; jobs accepted since the takeover start at once, with the silent machines counted against every team's limit. Ruled out: slow fail-over of workers alone (the rest had reported after 1.6 s).

--- a/src/salthead/coordination/fleet.py
+++ b/src/salthead/coordination/fleet.py
@@ -27,6 +27,8 @@
 # After a refusal the same kind is asked for again with doubling pauses.
 REFUSED_S, REFUSED_MAX_S = 5.0, 40.0
 HIRE_MOST = 50
+# Up to this part of the roster, silence after a takeover is the machines' own fault.
+SILENT_FEW = 0.15
 # A machine that was not needed for this part of a boot is worth less than its rent.
 SURPLUS_BOOTS = 1.0
 
@@ -221,12 +223,31 @@
             log.info("machine %s is not needed: cordoned", machine.name)
 
 
+def silent_few(ledger: Ledger, machine: Machine, now: float) -> bool:
+    """Whether to return a silent machine rather than wait for its lease to end.
+
+    After a takeover one dead or hanging machine holds up every start for a whole lease. The
+    cloud's word that it is gone settles that at the price of one boot. Many silent machines are
+    a cut, not broken machines, and are waited for.
+    """
+    silent = ledger.unheard()
+    roster = sum(1 for m in ledger.machines.values() if m.rostered)
+    grace_s = 1.0 + ledger.limits.workers.report_s
+    return (
+        machine in silent
+        and now - ledger.took_over > grace_s
+        and len(silent) <= max(1.0, SILENT_FEW * roster)
+    )
+
+
 def wanted_back(
     ledger: Ledger, machine: Machine, needed: set[str], now: float,
 ) -> str:
     """Why the machine should be returned now; empty when it should not."""
     if machine.phase == LOST:
         return "lost"
+    if not ledger.ready and silent_few(ledger, machine, now):
+        return "silent after a takeover"
     if machine.condemned:
         return machine.condemned if not machine.busy() else ""
     if machine.phase == BOOTING:
--- a/src/salthead/coordination/ledger.py
+++ b/src/salthead/coordination/ledger.py
@@ -94,6 +94,7 @@
     ghosts: dict[tuple[str, int, int], Binding] = field(default_factory=dict)
     exits: set[tuple[str, int, int]] = field(default_factory=set)
     hired_at: float = 0.0
+    endpoint: str = ""
     listed: str = ""  # phase in the cloud's list, as last read
     up_at: float = 0.0
     idle_since: float = 0.0
@@ -157,6 +158,7 @@
     pause: float = 0.0
     error_machines: set[str] = field(default_factory=set)
     first_start: float | None = None
+    fresh: bool = False  # accepted after this term began: no earlier leader started any of it
 
     @property
     def uid(self) -> str:
@@ -251,7 +253,7 @@
         flavor = self.flavors.get(build)
         return (flavor.vcpus, flavor.accelerators, flavor.ram_gb) if flavor else NOTHING
 
-    def add_job(self, spec: Submission, now: float) -> Job | None:
+    def add_job(self, spec: Submission, now: float, fresh: bool = False) -> Job | None:
         """Take an accepted job in; None when its team is unknown to these settings."""
         found = self.jobs.get(spec.uid)
         if found is not None:
@@ -272,6 +274,7 @@
             zone=None if spec.paddock is None else self.zones.intern(spec.paddock),
             submitted=min(now, spec.at - self.wall_ahead) if spec.at else now,
             done=bytearray(spec.pieces),
+            fresh=fresh,
         )
         self.jobs[spec.uid] = job
         self.on_change()
@@ -447,8 +450,27 @@
 
     # -- reports ------------------------------------------------------------------------
 
-    def on_report(self, report: Report, now: float) -> list[dict[str, Any]] | None:
-        """Orders for the worker, or None when the report must not be answered with 200."""
+    def unheard(self) -> list[Machine]:
+        """Machines that may run anything an earlier leader started."""
+        return [m for m in self.machines.values() if m.rostered and not m.joined and m.phase == UP]
+
+    def may_place(self, job: Job) -> bool:
+        """Whether all tasks of the job are accounted for.
+
+        Until every machine of the roster is, a task that no report shows may be on one that is
+        silent. A job accepted after this term began can't be: no earlier leader could start it.
+        """
+        return self.ready or (self.loaded and job.fresh)
+
+    def on_report(
+        self, report: Report, now: float, direct: bool = False,
+    ) -> list[dict[str, Any]] | None:
+        """Orders for the worker, or None when the report must not be answered with 200.
+
+        A ``direct`` report is the answer to a call of ours. It renews no lease and carries no
+        orders back, and it may have been made while an answer with starts was under way, so
+        what it does not show may still begin.
+        """
         if report.baton > self.token:
             self.deposed_by = max(self.deposed_by, report.baton)
             return None
@@ -461,7 +483,8 @@
             log.info("machine %s reports unexpectedly", machine.name)
         if report.tenure < machine.min_tenure:
             return None
-        machine.answered = now
+        if not direct:
+            machine.answered = now
         newer = (report.tenure, report.tally) > (machine.tenure, machine.tally)
         if not newer:
             return []
@@ -487,9 +510,13 @@
         if warned is not None and machine.warn_at is None:
             log.info("machine %s will be taken in %.1f s", machine.name, report.warning_s)
         machine.warn_at = warned
-        return self._pieces(machine, report, now)
+        if report.endpoint:
+            machine.endpoint = report.endpoint
+        return self._pieces(machine, report, now, direct)
 
-    def _pieces(self, machine: Machine, report: Report, now: float) -> list[dict[str, Any]]:
+    def _pieces(
+        self, machine: Machine, report: Report, now: float, direct: bool,
+    ) -> list[dict[str, Any]]:
         orders: list[dict[str, Any]] = []
         seen: set[tuple[str, int]] = set()
         seen_ghosts: set[tuple[str, int, int]] = set()
@@ -538,6 +565,8 @@
                 continue
             if binding.phase:
                 self.release(binding, now, f"not on {machine.name} any more")
+            elif direct:
+                continue
             elif binding.stop is not None:
                 # One report is in flight at a time and late answers are dropped, so a report
                 # without the task, newer than the answer that ordered it, is proof.
@@ -554,7 +583,7 @@
 
     def _starts(self, machine: Machine) -> list[dict[str, Any]]:
         """Starts for what is bound to the machine and not seen on it yet."""
-        if not (self.ready and machine.rostered and machine.joined):
+        if not (machine.rostered and machine.joined):
             return []
         return [
             start_order(binding.piece, binding.attempt)
--- a/src/salthead/coordination/placement.py
+++ b/src/salthead/coordination/placement.py
@@ -37,6 +37,7 @@
     waiting = [
         job for job in ledger.jobs.values()
         if not job.failed and job.uid not in ledger.ghost_jobs and job.waiting() > 0
+        and ledger.may_place(job)
     ]
     first = [job for job in waiting if job.uid in within]
     first.sort(key=lambda job: (job.rank, job.spec.at, job.uid))
@@ -52,6 +53,10 @@
     if ledger.strangers:
         return 0  # a stray task's team is not known yet
     usage, most = ledger.usage[job.crew], ledger.caps[job.crew]
+    if not ledger.ready:
+        # Any team may be using all of the machines that have not been heard from.
+        silent = ledger.unheard()
+        usage = [usage[n] + sum(m.cap[n] for m in silent) for n in range(2)]
     left = float(job.spec.pieces)
     for n in range(2):
         if job.need[n] > 0:
@@ -195,7 +200,7 @@
 def place(ledger: Ledger, rng: random.Random, now: float) -> list[Job]:
     """One pass over the queue; the jobs that found no candidate are returned, in order."""
     starved: list[Job] = []
-    if not ledger.ready:
+    if not ledger.loaded:
         return starved
     within = entitled(ledger)
     report_s = ledger.limits.workers.report_s
--- a/src/salthead/coordination/preemption.py
+++ b/src/salthead/coordination/preemption.py
@@ -158,7 +158,7 @@
 
 def preempt(ledger: Ledger, starved: list[Job], now: float) -> None:
     """For each job that found no candidate, in order, what the rules let it push aside."""
-    if not starved:
+    if not starved or not ledger.ready:
         return
     within = placement.entitled(ledger)
     for job in starved:
--- a/src/salthead/service.py
+++ b/src/salthead/service.py
@@ -53,6 +53,7 @@
             settings.endpoints.state, self.limits.state.rps, self.limits.state.write_rps, self.now)
         self.cloud = Caller(settings.endpoints.cloud, 4)
         self.peers = {seed.member: Caller(seed.endpoint, 16) for seed in settings.seeds}
+        self.workers = Caller("", 16)
         self.flavors: dict[str, Flavor] = {}
         self.leader: str | None = None  # the member that leads, as last read
         self.term: Term | None = None
--- a/src/salthead/term.py
+++ b/src/salthead/term.py
@@ -106,6 +106,8 @@
             except TROUBLES as error:
                 self.node.note("load", error)
                 await self.node.rest(0.3)
+        for machine in self.ledger.unheard():
+            self.spawn(self.join(machine))
         loops = [self.watch_loop(), self.decide_loop(), self.save_loop(), self.roster_loop(),
                  self.list_loop(), self.fleet_loop(), self.stranger_loop()]
         async with asyncio.TaskGroup() as group:
@@ -162,8 +164,10 @@
                 base = int(number) * size
                 ledger.load_done(job, (base + n for n in records.from_ranges(value)))
         for key, (value, _) in roster.items():
-            ledger.add_machine(key.removeprefix(records.ROSTER), value["build"], value["paddock"],
-                               bool(value["borrowed"]), now, rostered=True)
+            machine = ledger.add_machine(
+                key.removeprefix(records.ROSTER), value["build"], value["paddock"],
+                bool(value["borrowed"]), now, rostered=True)
+            machine.endpoint = machine.endpoint or str(value.get("endpoint") or "")
         ledger.loaded = True
         log.info("loaded %d jobs, %d machines", len(ledger.jobs), len(ledger.machines))
 
@@ -175,10 +179,11 @@
             return
         self.jobs_stamp[spec.uid] = stamp
         if spec.uid not in self.node.finals:
-            self.ledger.add_job(spec, self.now())
+            self.ledger.add_job(spec, self.now(), fresh=stamp > self.stamp)
 
     def add_job(self, spec: Submission) -> None:
-        self.ledger.add_job(spec, self.now())
+        """A job whose record this node has just written."""
+        self.ledger.add_job(spec, self.now(), fresh=True)
 
     async def watch_loop(self) -> None:
         """Jobs that any node accepted."""
@@ -217,6 +222,31 @@
     def on_report(self, report: Report) -> list[dict[str, Any]] | None:
         return self.ledger.on_report(report, self.now())
 
+    async def join(self, machine: Machine) -> None:
+        """Ask a machine of the roster directly: its worker may be waiting for a dead leader.
+
+        A call with our token and no orders makes the worker accept the token, after which no
+        command of an earlier leader is executed, and its answer shows what it runs.
+        """
+        tenure = 1
+        for _ in range(2):
+            if machine.joined or not machine.endpoint or not self.valid():
+                return
+            try:
+                answer = await self.node.workers.call(
+                    "POST", names.DO, {"baton": self.token, "tenure": tenure, "orders": []},
+                    timeout=2.0, endpoint=machine.endpoint)
+                report = shape(answer.body, Report)
+            except TROUBLES as error:
+                self.node.note("join", error)
+                return
+            if report.saltlick != machine.name:
+                return
+            if answer.status == 200:
+                self.ledger.on_report(report, self.now(), direct=True)
+                return
+            tenure = report.tenure
+
     async def decide_loop(self) -> None:
         while True:
             with contextlib.suppress(TimeoutError):
@@ -322,7 +352,8 @@
                     await self.txn({}, [
                         put(records.roster_key(m.name), {
                             "build": self.ledger.builds[m.build],
-                            "paddock": self.ledger.zones[m.zone], "borrowed": m.borrowed})
+                            "paddock": self.ledger.zones[m.zone], "borrowed": m.borrowed,
+                            "endpoint": m.endpoint})
                         for m in fresh])
                     for machine in fresh:
                         machine.rostered = True
--- a/src/salthead/transport/client.py
+++ b/src/salthead/transport/client.py
@@ -40,12 +40,12 @@
 
     async def call(
         self, method: str, path: str, body: Any = None, timeout: float = 2.0,
-        query: dict[str, Any] | None = None,
+        query: dict[str, Any] | None = None, endpoint: str = "",
     ) -> Answer:
         if query:
             path += "?" + "&".join(f"{k}={quote(str(v), safe='/')}" for k, v in query.items())
         request = HTTPRequest(
-            f"http://{self.endpoint}{path}",
+            f"http://{endpoint or self.endpoint}{path}",
             method=method,
             body=None if method in ("GET", "DELETE") else encode({} if body is None else body),
             headers={"Content-Type": "application/cbor"},
--- a/tests/test_ledger.py
+++ b/tests/test_ledger.py
@@ -113,6 +113,38 @@
         led.tick(surely_over(0.0, led.limits.workers.lease_s) + 0.1)
         assert led.ready
 
+    def test_a_job_accepted_since_may_start_beside_a_silent_machine(self) -> None:
+        # Seen on rough, moana-buoys: one hanging machine held up every start for a lease.
+        led = ledger()
+        led.add_machine("m1", "small", "north", False, 0.0, rostered=True)
+        machine(led, "m2")
+        old = job(led, uid="req-1")
+        new = led.add_job(spec(uid="req-2", crew="red"), 0.0, fresh=True)
+        big = led.add_job(spec(uid="req-3", crew="red", pieces=3, vcpus=6.0), 0.0, fresh=True)
+        place(led, 1.0)
+        assert new is not None and len(new.bindings) == 2
+        assert not old.bindings, "it may be on m1"
+        # red may use 24 CPUs, of which m1 may hold 8 and the new job holds 4
+        machine(led, "m3", build="big")
+        place(led, 4.0)
+        assert big is not None and len(big.bindings) == 2
+
+    def test_an_answer_to_a_direct_call_joins_but_renews_nothing(self) -> None:
+        led = ledger()
+        led.add_machine("m1", "small", "north", False, 0.0, rostered=True)
+        one = job(led, pieces=2)
+        found = report("m1", 4, ("req-1/0", 3, "running"))
+        led.on_report(found, 1.0, direct=True)
+        led.tick(1.1)
+        assert led.ready and 0 in one.bindings
+        place(led, 1.2)
+        assert one.bindings[1].phase == ""
+        led.want_stop(one.bindings[1], 0.0)
+        led.on_report(report("m1", 5, ("req-1/0", 3, "running")), 1.5, direct=True)
+        assert 1 in one.bindings, "its start may be on the way in an answer to a report"
+        led.tick(surely_over(0.0, led.limits.workers.lease_s) + 0.1)
+        assert led.machines["m1"].phase == LOST
+
     def test_tasks_found_are_adopted_and_not_started_again(self) -> None:
         led = ledger()
         for name in ("m1", "m2"):
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -309,6 +309,21 @@
         led.tick(600.0)
         assert [m.name for m in self.plan(led, 600.0).returns] == ["m1", "m2"]
 
+    @pytest.mark.parametrize(
+        ("silent", "heard", "now", "returned"),
+        [(1, 9, 2.0, 0), (1, 9, 4.0, 1), (4, 6, 4.0, 0), (1, 1, 4.0, 1)],
+    )
+    def test_few_silent_machines_do_not_hold_up_a_takeover(
+        self, silent: int, heard: int, now: float, returned: int
+    ) -> None:
+        led = ready()
+        led.ready = False
+        for n in range(silent):
+            led.add_machine(f"s{n}", "small", "north", False, 0.0, rostered=True)
+        for n in range(heard):
+            machine(led, f"m{n}")
+        assert len(self.plan(led, now).returns) == returned
+
     def test_what_is_not_needed_for_a_while_is_emptied_and_returned(self) -> None:
         led = ready()
         for n in range(2):
