Outlast an outage of the state service on the promises of all peers not to stand

The exception: while renewals fail, the leader asks every peer for a short promise not to stand, given only by peers that can't reach the state service themselves and have no try in doubt. The promises must be unanimous and follow on the lease without a gap. A process that has just started may have forgotten one and abstains for its length, unless the leader was its own earlier process. Outcomes still need the state service, so nothing is told that is not durable. Ruled out: longer leader leases, which would slow every takeover.

--- a/src/salthead/bookkeeping/store.py
+++ b/src/salthead/bookkeeping/store.py
@@ -130,7 +130,8 @@
             raise NoLease("extend")
 
     async def end_grant(self, tether: int) -> None:
-        await self.urgent.call("DELETE", f"{names.GRANTS}/{tether}", timeout=1.0)
+        answer = await self.urgent.call("DELETE", f"{names.GRANTS}/{tether}", timeout=1.0)
+        self._check(answer, "end", 200, 404)
 
     async def changes(
         self, prefix: str, since: int, wait_s: float
--- a/src/salthead/coordination/lease.py
+++ b/src/salthead/coordination/lease.py
@@ -31,18 +31,61 @@
     return answered + lease_s * (1.0 + DRIFT) + SLACK_S
 
 
+def promise_s(ttl: float) -> float:
+    """How long one promise of a peer not to stand lasts; it is renewed several times in this."""
+    return 0.6 * ttl
+
+
 class LeaseClock:
-    """The leader's own view of its lease, counted from the sending of each renewal."""
+    """The leader's own view of how long it may act, counted from the sending of its requests.
+
+    It may act on its lease in the state service. While that service is down for every node, it
+    may also act on promises of all its peers not to stand. These have to follow on the lease
+    without a gap: in a gap a peer may have stood, so after one only the lease itself counts.
+    """
 
     def __init__(self, ttl: float) -> None:
         self.ttl = ttl
         self.until = -math.inf
+        self.promised = -math.inf
 
     def renewed(self, sent: float) -> None:
         self.until = max(self.until, valid_until(sent, self.ttl))
 
+    def promised_by_all(self, sent: float, now: float) -> bool:
+        """All peers promised on a request sent at ``sent``; whether that counts."""
+        if not self.valid(now):
+            return False
+        self.promised = max(self.promised, valid_until(sent, promise_s(self.ttl)))
+        return True
+
     def valid(self, now: float) -> bool:
-        return now < self.until
+        return now < self.until or now < self.promised
 
     def drop(self) -> None:
-        self.until = -math.inf
+        self.until = self.promised = -math.inf
+
+
+class Abstention:
+    """When a node may not stand for leader, by its own promises and by those it may forget."""
+
+    def __init__(self, ttl: float, started: float) -> None:
+        self.length = promise_s(ttl) * (1.0 + DRIFT) + 0.1
+        # An earlier process of this member may have promised just before it ended.
+        self.until = started + self.length
+        self.promised_until = -math.inf
+        # A request to take the lead that had no answer may still be carried out.
+        self.in_doubt = False
+
+    def promise(self, now: float) -> bool:
+        if self.in_doubt:
+            return False
+        self.promised_until = max(self.promised_until, now + self.length)
+        return True
+
+    def may_stand(self, now: float, own_key: bool, first_ever: bool) -> bool:
+        """``own_key``: the leader was this very member, whose process has ended, so nobody acts
+        on promises. ``first_ever``: no leader was there before who could."""
+        if now < self.promised_until:
+            return False
+        return own_key or first_ever or now >= self.until
--- a/src/salthead/protocol/names.py
+++ b/src/salthead/protocol/names.py
@@ -18,6 +18,7 @@
 # paths between controllers
 PEER_POLL = "/peer/poll"
 PEER_CANCEL = "/peer/cancel"
+PEER_PROMISE = "/peer/promise"
 
 # phases of a job
 QUEUED = "queued"
--- a/src/salthead/service.py
+++ b/src/salthead/service.py
@@ -57,6 +57,8 @@
         self.flavors: dict[str, Flavor] = {}
         self.leader: str | None = None  # the member that leads, as last read
         self.term: Term | None = None
+        self.abstention = lease.Abstention(
+            lease.leader_ttl(self.limits.workers.lease_s), self.now())
         self.finals: OrderedDict[str, tuple[str, int]] = OrderedDict()
         self.trouble: dict[str, float] = {}
 
@@ -147,21 +149,54 @@
                 self.leader = None
                 token_row = await self.store.get(records.TOKEN, urgent=True)
                 token = (token_row[0]["n"] if token_row else 0) + 1
+                if self.abstention.in_doubt:
+                    # Without its lease an earlier try can't be carried out any more.
+                    await self.store.end_grant(tether)
+                    self.abstention.in_doubt = False
+                if not self.abstention.may_stand(self.now(), mine, token_row is None):
+                    await self.rest(0.2)
+                    continue
                 sent = self.now()
                 tether = await self.store.grant(ttl)
+                # Once more, with nothing awaited between this and the request to take the lead.
+                if not self.abstention.may_stand(self.now(), mine, token_row is None):
+                    await self.store.end_grant(tether)
+                    await self.rest(0.2)
+                    continue
                 tried = uuid.uuid4().hex[:12]
                 value = {"member": self.settings.member, "run": self.run_id, "token": token,
                          "nonce": tried}
-                await self.store.txn(
-                    {records.LEAD: stamp, records.TOKEN: token_row[1] if token_row else 0},
-                    [put(records.LEAD, value, tether), put(records.TOKEN, {"n": token})],
-                    urgent=True)
+                self.abstention.in_doubt = True
+                try:
+                    await self.store.txn(
+                        {records.LEAD: stamp, records.TOKEN: token_row[1] if token_row else 0},
+                        [put(records.LEAD, value, tether), put(records.TOKEN, {"n": token})],
+                        urgent=True)
+                    self.abstention.in_doubt = False
+                except (Conflict, Refused, NoLease):
+                    self.abstention.in_doubt = False
+                    raise
             except Conflict:
                 await self.rest(0.05)
             except TROUBLES as error:
                 self.note("election", error)
                 await self.rest(0.4)
 
+    async def promise(self, member: str) -> bool:
+        """Promise a leader that lost the state service not to stand for a while.
+
+        Only when this node can't reach the service either: where the leader alone is refused,
+        another node has to take over, since outcomes could not be written otherwise.
+        """
+        if self.term is not None or self.leader != member:
+            return False
+        try:
+            await self.store.get(records.LEAD, timeout=0.5, urgent=True)
+            return False
+        except (Refused, Unanswered):
+            pass
+        return self.term is None and self.abstention.promise(self.now())
+
     async def lead(self, token: int, stamp: int, tether: int, sent: float, ttl: float) -> None:
         log.info("%s leads with token %d", self.settings.member, token)
         term = Term(self, token, stamp, tether, lease.LeaseClock(ttl))
--- a/src/salthead/term.py
+++ b/src/salthead/term.py
@@ -20,11 +20,11 @@
     put,
 )
 from salthead.coordination import fleet, gangs, placement, preemption
-from salthead.coordination.lease import LeaseClock
+from salthead.coordination.lease import LeaseClock, promise_s
 from salthead.coordination.ledger import BOOTING, UP, Job, Ledger, Machine
 from salthead.protocol import names
 from salthead.protocol.messages import Hired, Hosts, Malformed, Report, Submission, shape
-from salthead.transport.client import Unanswered
+from salthead.transport.client import Caller, Unanswered
 from salthead.transport.limits import Budget
 
 if TYPE_CHECKING:
@@ -72,6 +72,8 @@
         self.background: set[asyncio.Task[None]] = set()
         self.end_lock = asyncio.Lock()
         self.shown = -SHOW_S
+        self.renewal_failed = False
+        self.promised = False
 
     def valid(self) -> bool:
         return self.clock.valid(self.now())
@@ -83,7 +85,7 @@
         """Until the lease has ended; then nothing of this term goes on."""
         tasks = [
             asyncio.create_task(loop) for loop in (
-                self.renew_loop(), self.work_loop(),
+                self.renew_loop(), self.work_loop(), self.promise_loop(),
             )
         ]
         try:
@@ -126,14 +128,44 @@
             try:
                 await self.store.extend(self.tether, timeout=ttl / 4)
                 self.clock.renewed(sent)
+                self.renewal_failed = False
                 await asyncio.sleep(ttl / 5)
             except NoLease:
                 log.warning("the lease of token %d has ended", self.token)
                 return
             except TROUBLES as error:
+                self.renewal_failed = True
                 self.node.note("renew", error)
                 await self.node.rest(ttl / 12)
 
+    async def promise_loop(self) -> None:
+        """While renewals fail, ask all peers for their promise not to stand."""
+        peers = self.node.peers
+        every = promise_s(self.clock.ttl) / 5
+        while True:
+            await asyncio.sleep(every)
+            if not peers or len(peers) + 1 < self.limits.initial_size:
+                continue  # somebody unknown could stand
+            if not self.renewal_failed or not self.valid():
+                self.promised = False
+                continue
+            sent = self.now()
+            given = await asyncio.gather(
+                *(self.ask_promise(peer, every * 2) for peer in peers.values()))
+            counts = all(given) and self.clock.promised_by_all(sent, self.now())
+            if counts != self.promised:
+                self.promised = counts
+                log.info("state service lost; %s by all peers",
+                         "promised the lead" if counts else "not promised the lead")
+
+    async def ask_promise(self, peer: Caller, timeout: float) -> bool:
+        try:
+            answer = await peer.call(
+                "POST", names.PEER_PROMISE, {"member": self.node.settings.member}, timeout=timeout)
+        except Unanswered:
+            return False
+        return answer.status == 200 and answer.body.get("promise") is True
+
     async def txn(self, when: dict[str, int], apply: list[dict[str, Any]]) -> int:
         """A write that only takes effect while this term leads."""
         if not self.valid():
--- a/src/salthead/transport/server.py
+++ b/src/salthead/transport/server.py
@@ -166,6 +166,19 @@
         await self.user_call(uid, term.cancel)
 
 
+class PeerPromise(Base):
+    label = "peer promise"
+
+    async def post(self) -> None:
+        try:
+            member = str(decode_map(self.request.body).get("member"))
+        except Malformed as error:
+            self.reply(400, {"error": str(error)})
+            return
+        given = await self.node.promise(member)
+        self.reply(200 if given else 409, {"promise": given})
+
+
 class NoSuchPath(Base):
     def prepare(self) -> None:
         self.reply(404, {"error": "no such path"})
@@ -194,7 +207,11 @@
 
 
 def cluster_app(node: Node) -> Application:
-    return _application(node, [(names.PEER_POLL, PeerPoll), (names.PEER_CANCEL, PeerCancel)])
+    return _application(node, [
+        (names.PEER_POLL, PeerPoll),
+        (names.PEER_CANCEL, PeerCancel),
+        (names.PEER_PROMISE, PeerPromise),
+    ])
 
 
 def listen(app: Application, endpoint: str) -> HTTPServer:
