--- a/src/salthead/coordination/ledger.py
+++ b/src/salthead/coordination/ledger.py
@@ -444,10 +444,21 @@
             over = now > surely_over(self.took_over, lease_s)
             if over or all(m.joined for m in self.machines.values() if m.rostered):
                 self.ready = True
+                self._end_partial_gangs(now)
                 log.info("takeover complete after %.2f s, %d machines, %d jobs",
                          now - self.took_over, len(self.machines), len(self.jobs))
                 self.on_change()
 
+    def _end_partial_gangs(self, now: float) -> None:
+        """Gangs of which an earlier leader had started only a part when it ended.
+
+        With all machines accounted for, the rest of the gang is nowhere: the part would hold its
+        places and wait for it until it gives up. It is stopped, and the gang drawn anew.
+        """
+        for job in list(self.jobs.values()):
+            if job.gang and 0 < len(job.bindings) < job.spec.pieces and not job.complete:
+                self.fail_gang(job, now, "incomplete after a takeover")
+
     # -- reports ------------------------------------------------------------------------
 
     def unheard(self) -> list[Machine]:
--- a/src/salthead/service.py
+++ b/src/salthead/service.py
@@ -8,6 +8,7 @@
 import time
 import uuid
 from collections import OrderedDict
+from collections.abc import Callable
 from typing import Any
 
 from salthead import metrics
@@ -43,17 +44,22 @@
 
 
 class Node:
-    def __init__(self, settings: Settings, rng: random.Random | None = None) -> None:
+    def __init__(
+        self, settings: Settings, rng: random.Random | None = None,
+        now: Callable[[], float] = time.monotonic,
+        dial: Callable[[str, int], Caller] = Caller,
+    ) -> None:
         self.settings = settings
         self.limits = settings.settings
         self.rng = rng or random.Random()
-        self.now = time.monotonic
+        self.now = now
         self.run_id = uuid.uuid4().hex[:12]
         self.store = Store(
-            settings.endpoints.state, self.limits.state.rps, self.limits.state.write_rps, self.now)
-        self.cloud = Caller(settings.endpoints.cloud, 4)
-        self.peers = {seed.member: Caller(seed.endpoint, 16) for seed in settings.seeds}
-        self.workers = Caller("", 16)
+            settings.endpoints.state, self.limits.state.rps, self.limits.state.write_rps, self.now,
+            dial)
+        self.cloud = dial(settings.endpoints.cloud, 4)
+        self.peers = {seed.member: dial(seed.endpoint, 16) for seed in settings.seeds}
+        self.workers = dial("", 16)
         self.flavors: dict[str, Flavor] = {}
         self.leader: str | None = None  # the member that leads, as last read
         self.term: Term | None = None
@@ -89,11 +95,9 @@
     # -- loops --------------------------------------------------------------------------
 
     async def run(self) -> None:
-        loops = [self.elect_loop(), self.flavor_loop()]
-        tasks = [asyncio.create_task(loop) for loop in loops]
-        done, _ = await asyncio.wait(tasks, return_when=asyncio.FIRST_COMPLETED)
-        for task in done:
-            task.result()
+        async with asyncio.TaskGroup() as group:
+            group.create_task(self.elect_loop())
+            group.create_task(self.flavor_loop())
 
     async def flavor_loop(self) -> None:
         """Machine types: from the cloud, or as an earlier leader stored them."""
--- /dev/null
+++ b/tests/standins.py
@@ -0,0 +1,568 @@
+"""Stand-ins for what the controllers talk to, met by protocol, on fake time.
+
+``World`` holds a state service, a cloud, workers and users, all in one process on a loop whose
+clock jumps to the next timer. Calls can be cut, lost (executed without an answer) or late. It
+checks the rules as it goes: what it calls broken is broken.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import random
+import selectors
+from collections.abc import Callable, Coroutine
+from typing import Any
+from urllib.parse import parse_qs, urlsplit
+
+import cbor2
+
+from helpers import FLAVORS, LIMITS, settings
+from salthead.protocol.messages import (
+    Malformed,
+    Submission,
+    decode_report,
+    decode_submission,
+    encode,
+)
+from salthead.service import Node, Rejected
+from salthead.transport.client import Answer, Unanswered
+from salthead.transport.server import CANT_NOW
+
+
+class _Jump(selectors.DefaultSelector):
+    """Instead of waiting for a timer, the clock goes there."""
+
+    loop: FakeLoop
+
+    def select(self, timeout: float | None = None) -> Any:
+        if timeout is None:
+            raise RuntimeError("nothing left to wait for")
+        self.loop.clock += max(0.0, timeout)
+        return super().select(0)
+
+
+class FakeLoop(asyncio.SelectorEventLoop):
+    def __init__(self) -> None:
+        self.clock = 1000.0
+        selector = _Jump()
+        selector.loop = self
+        super().__init__(selector)
+
+    def time(self) -> float:
+        return self.clock
+
+
+def run(work: Callable[[], Coroutine[Any, Any, Any]]) -> Any:
+    loop = FakeLoop()
+    try:
+        return loop.run_until_complete(work())
+    finally:
+        for task in asyncio.all_tasks(loop):
+            task.cancel()
+        for _ in range(20):  # cancelled tasks wind up
+            loop.run_until_complete(asyncio.sleep(0))
+        loop.close()
+
+
+class State:
+    """The state service: keys with stamps, leases, changes."""
+
+    def __init__(self, world: World) -> None:
+        self.world = world
+        self.keys: dict[str, tuple[Any, int, int | None]] = {}
+        self.epoch = 1
+        self.grants: dict[int, list[float]] = {}  # ttl, end
+        self.log: list[dict[str, Any]] = []
+        self.down = False
+        self.changed = asyncio.Event()
+        self.tethers = 0
+
+    def _note(self, change: dict[str, Any]) -> None:
+        self.log.append(change)
+        self.changed.set()
+        self.changed = asyncio.Event()
+
+    def expire(self) -> None:
+        if self.down:
+            return
+        for tether, (_, end) in list(self.grants.items()):
+            if self.world.now() >= end:
+                self.end(tether)
+
+    def end(self, tether: int) -> None:
+        del self.grants[tether]
+        for key, (_, _, held) in list(self.keys.items()):
+            if held == tether:
+                self.epoch += 1
+                del self.keys[key]
+                self._note({"drop": key, "stamp": self.epoch})
+
+    def back(self) -> None:
+        self.down = False
+        for grant in self.grants.values():
+            grant[1] = self.world.now() + grant[0]
+
+    async def handle(self, method: str, path: str, query: dict[str, str], body: Any) -> Answer:
+        if path == "/changes":
+            return await self.watch(query)
+        if self.down:
+            return Answer(503, {})
+        self.expire()
+        if path.startswith("/keys/"):
+            row = self.keys.get(path.removeprefix("/keys/"))
+            if row is None:
+                return Answer(404, {"epoch": self.epoch})
+            return Answer(200, {"value": row[0], "stamp": row[1]})
+        if path == "/keys":
+            found = [{"path": key, "value": row[0], "stamp": row[1]}
+                     for key, row in sorted(self.keys.items())
+                     if key.startswith(query["prefix"]) and key > query.get("from", "")]
+            return Answer(200, {"rows": found, "truncated": False, "epoch": self.epoch})
+        if path == "/grants":
+            self.tethers += 1
+            ttl = body["ttl_ms"] / 1000
+            self.grants[self.tethers] = [ttl, self.world.now() + ttl]
+            return Answer(200, {"tether": self.tethers})
+        if path.startswith("/grants/"):
+            tether = int(path.split("/")[2])
+            if tether not in self.grants:
+                return Answer(404, {})
+            if method == "DELETE":
+                self.end(tether)
+            else:
+                self.grants[tether][1] = self.world.now() + self.grants[tether][0]
+            return Answer(200, {})
+        assert path == "/txn", path
+        return self.txn(body)
+
+    def txn(self, body: Any) -> Answer:
+        assert len(body["apply"]) <= LIMITS["state"]["txn_ops"]
+        failed = [c["path"] for c in body["when"]
+                  if (self.keys[c["path"]][1] if c["path"] in self.keys else 0) != c["stamp"]]
+        if any(c.get("tether") is not None and c["tether"] not in self.grants
+               for c in body["apply"]):
+            return Answer(400, {"error": "no such lease"})
+        if failed:
+            return Answer(409, {"failed": failed, "epoch": self.epoch})
+        self.epoch += 1
+        for change in body["apply"]:
+            if "set" in change:
+                self.keys[change["set"]] = (change["value"], self.epoch, change.get("tether"))
+                self._note({"set": change["set"], "value": change["value"], "stamp": self.epoch})
+            else:
+                self.keys.pop(change["drop"], None)
+                self._note({"drop": change["drop"], "stamp": self.epoch})
+        return Answer(200, {"epoch": self.epoch})
+
+    async def watch(self, query: dict[str, str]) -> Answer:
+        end = self.world.now() + int(query["wait_ms"]) / 1000
+        while True:
+            self.expire()
+            found = [c for c in self.log if c["stamp"] > int(query["from"])
+                     and (c.get("set") or c.get("drop")).startswith(query["prefix"])]
+            if not self.down and (found or self.world.now() >= end):
+                return Answer(200, {"log": found, "epoch": self.epoch})
+            await asyncio.sleep(0.05)
+
+
+class Cloud:
+    def __init__(self, world: World) -> None:
+        self.world = world
+        self.hosts: dict[str, Worker] = {}
+        self.hired: dict[str, list[str]] = {}
+        self.down = False
+
+    async def handle(self, method: str, path: str, query: dict[str, str], body: Any) -> Answer:
+        if self.down:
+            return Answer(503, {"error": "trouble"})
+        if path == "/flavors":
+            return Answer(200, {"builds": [cbor2.loads(encode(f)) for f in FLAVORS]})
+        if path == "/hosts/return":
+            for name in body["saltlicks"]:
+                if (worker := self.hosts.pop(name, None)) is not None:
+                    worker.end()
+            return Answer(200, {})
+        if method == "GET":
+            return Answer(200, {"truncated": False, "saltlicks": [
+                {"uid": w.name, "endpoint": w.name + ":9", "build": w.build, "paddock": w.zone,
+                 "borrowed": w.borrowed, "phase": "running" if w.up else "booting",
+                 "age_s": self.world.now() - w.born}
+                for name, w in sorted(self.hosts.items()) if name > query.get("from", "")]})
+        if body["hire"] not in self.hired:
+            names = []
+            for _ in range(body["how_many"]):
+                if len(self.hosts) >= self.world.most:
+                    break
+                name = f"host-{self.world.count():06d}"
+                self.hosts[name] = Worker(
+                    self.world, name, body["build"], body["paddock"], body["borrowed"])
+                names.append(name)
+            if not names:
+                return Answer(503, {"error": "no capacity"})
+            self.hired[body["hire"]] = names
+        return Answer(200, {"saltlicks": self.hired[body["hire"]]})
+
+
+class Worker:
+    """A machine and its worker."""
+
+    BOOT_S = 5.0
+
+    def __init__(self, world: World, name: str, build: str, zone: str, borrowed: bool) -> None:
+        self.world, self.name, self.build, self.zone = world, name, build, zone
+        self.borrowed = borrowed
+        self.born = world.now()
+        self.up = self.hung = False
+        self.tenure, self.tally, self.baton = 1, 0, 0
+        self.tasks: dict[tuple[str, int], dict[str, Any]] = {}
+        self.answered = 0.0
+        self.changed = asyncio.Event()
+        self.node = 0
+        self.jobs = [asyncio.create_task(self.live()), asyncio.create_task(self.work())]
+
+    def end(self) -> None:
+        self.tasks.clear()
+        for job in self.jobs:
+            job.cancel()
+
+    def report(self) -> dict[str, Any]:
+        self.tally += 1
+        return {"saltlick": self.name, "endpoint": self.name + ":9", "build": self.build,
+                "paddock": self.zone, "borrowed": self.borrowed, "tenure": self.tenure,
+                "tally": self.tally, "baton": self.baton, "warning_s": None,
+                "pieces": [{"piece": piece, "try": attempt, "phase": t["phase"],
+                            "cause": t.get("cause"), "saved": t.get("saved", False)}
+                           for (piece, attempt), t in self.tasks.items()]}
+
+    def obey(self, orders: list[dict[str, Any]]) -> None:
+        for order in orders:
+            key = (order["piece"], order["try"])
+            if order["verb"] == "reap":
+                if self.tasks.get(key, {}).get("phase") == "exited":
+                    del self.tasks[key]
+            elif order["verb"] == "stop":
+                if key in self.tasks and self.tasks[key]["phase"] != "exited":
+                    self.tasks[key] |= {"phase": "exited", "cause": "halted"}
+            elif key not in self.tasks:
+                self.world.started(self, order["piece"])
+                self.tasks[key] = {"phase": "running", "left": self.world.run_s(order["piece"])}
+            self.changed.set()
+
+    async def live(self) -> None:
+        await asyncio.sleep(self.BOOT_S)
+        self.up, self.answered = True, self.world.now()
+        report_s = LIMITS["workers"]["report_s"]
+        while True:
+            while self.hung:
+                await asyncio.sleep(0.2)
+            if self.world.now() - self.answered > LIMITS["workers"]["lease_s"]:
+                self.tenure, self.tally, self.answered = self.tenure + 1, 0, self.world.now()
+                self.tasks.clear()
+            sent, tenure, message = self.world.now(), self.tenure, encode(self.report())
+            try:
+                status, body = await asyncio.wait_for(
+                    self.world.hello(self.name, self.node, message), 4.0)
+            except (TimeoutError, Unanswered):
+                status, body = 599, {}
+            if status == 200:
+                if body["baton"] >= self.baton and tenure == self.tenure:
+                    if body["baton"] > self.baton:
+                        self.baton = body["baton"]
+                        self.changed.set()
+                    self.answered = sent
+                    self.obey(body["orders"])
+            elif status == 421 and "herder" in body:
+                self.node = int(body["herder"][1:])
+                await asyncio.sleep(0.2)
+                continue
+            else:
+                self.node = (self.node + 1) % len(self.world.nodes)
+                await asyncio.sleep(1.0)
+                continue
+            await asyncio.sleep(0.5)
+            with contextlib.suppress(TimeoutError):
+                await asyncio.wait_for(self.changed.wait(), report_s - 0.5)
+            self.changed.clear()
+
+    async def work(self) -> None:
+        while True:
+            await asyncio.sleep(0.1)
+            if self.hung:
+                continue
+            for (piece, attempt), task in self.tasks.items():
+                if task["phase"] != "running" or not self.world.gang_whole(piece, attempt):
+                    continue
+                task["left"] -= 0.1
+                if task["left"] <= 0:
+                    self.world.complete(self, piece, attempt)
+
+
+class Dial:
+    """What a node uses in place of HTTP calls."""
+
+    def __init__(self, world: World, source: str, endpoint: str, slots: int) -> None:
+        self.world, self.source, self.endpoint = world, source, endpoint
+        self.life = world.lives.get(source, 0)
+
+    async def call(
+        self, method: str, path: str, body: Any = None, timeout: float = 2.0,
+        query: dict[str, Any] | None = None, endpoint: str = "",
+    ) -> Answer:
+        if self.life != self.world.lives.get(self.source, 0):
+            raise Unanswered("this process has been killed")
+        return await self.world.call(
+            self.source, endpoint or self.endpoint, method, path, body, timeout, query or {})
+
+    def close(self) -> None:
+        pass
+
+
+class World:
+    def __init__(self, nodes: int = 3, seed: int = 1, most: int = 12) -> None:
+        self.loop = asyncio.get_running_loop()
+        self.rng = random.Random(seed)
+        self.counter = 0
+        self.lives: dict[str, int] = {}  # how often each node was killed
+        self.most = most
+        self.state, self.cloud = State(self), Cloud(self)
+        self.names = [f"n{n}" for n in range(nodes)]
+        self.nodes: dict[str, Node | None] = {}
+        self.running: dict[str, asyncio.Task[None]] = {}
+        self.cuts: set[tuple[str, str]] = set()
+        self.loss = 0.0  # part of the calls that are executed without an answer
+        self.late: Callable[[str, str], float] = lambda source, path: 0.0
+        self.specs: dict[str, Submission] = {}
+        self.cancelled: dict[str, float] = {}
+        self.told: dict[str, str] = {}
+        self.done: set[str] = set()
+        self.broken: list[str] = []
+        self.starts = 0
+        self.pending: set[asyncio.Task[Any]] = set()
+        for name in self.names:
+            self.boot(name)
+
+    def now(self) -> float:
+        return self.loop.time()
+
+    def count(self) -> int:
+        self.counter += 1
+        return self.counter
+
+    # -- nodes
+
+    def boot(self, name: str) -> None:
+        others = tuple(other for other in self.names if other != name)
+        node = Node(settings(name, others), random.Random(self.rng.random()),
+                    now=self.loop.time, dial=lambda e, slots: Dial(self, name, e, slots))
+        self.nodes[name] = node
+        self.running[name] = self.loop.create_task(node.run())
+
+    async def crash(self, name: str) -> None:
+        self.nodes[name] = None
+        self.lives[name] = self.lives.get(name, 0) + 1
+        self.running[name].cancel()
+        await asyncio.gather(self.running[name], return_exceptions=True)
+
+    def leader(self) -> Node | None:
+        return next((n for n in self.nodes.values() if n is not None and n.leading()), None)
+
+    # -- calls
+
+    async def call(
+        self, source: str, endpoint: str, method: str, path: str, body: Any, timeout: float,
+        query: dict[str, Any],
+    ) -> Answer:
+        target = endpoint.split(":")[0]
+        parts = urlsplit(path)
+        query = {k: str(v) for k, v in query.items()} | {
+            k: v[0] for k, v in parse_qs(parts.query).items()}
+        plain = cbor2.loads(encode(body)) if body is not None else {}
+        await asyncio.sleep(self.rng.uniform(0.001, 0.01))
+        if (source, target) in self.cuts:
+            await asyncio.sleep(timeout)
+            raise Unanswered("cut")
+        work = asyncio.create_task(self._deliver(
+            source, target, method, parts.path, query, plain, self.late(source, path)))
+        self.pending.add(work)
+        work.add_done_callback(self.pending.discard)
+        if self.rng.random() < self.loss:
+            await asyncio.sleep(timeout)
+            raise Unanswered("lost")
+        done, _ = await asyncio.wait([work], timeout=timeout)
+        if not done:
+            raise Unanswered("timeout")
+        return work.result()
+
+    async def _deliver(
+        self, source: str, target: str, method: str, path: str, query: dict[str, str], body: Any,
+        late: float,
+    ) -> Answer:
+        await asyncio.sleep(late)
+        if target == "state":
+            return await self.state.handle(method, path, query, body)
+        if target == "cloud":
+            return await self.cloud.handle(method, path, query, body)
+        if target in self.nodes:
+            return await self.peer(target, path, body)
+        return await self.direct(target, body)
+
+    async def direct(self, name: str, body: Any) -> Answer:
+        worker = self.cloud.hosts.get(name)
+        if worker is None or not worker.up:
+            raise Unanswered("no such machine")
+        while worker.hung:
+            await asyncio.sleep(0.2)
+        if body["baton"] < worker.baton or body["tenure"] != worker.tenure:
+            return Answer(409, worker.report())
+        worker.baton = body["baton"]
+        worker.obey(body["orders"])
+        return Answer(200, worker.report())
+
+    async def peer(self, name: str, path: str, body: Any) -> Answer:
+        node = self.nodes[name]
+        if node is None:
+            raise Unanswered("refused")
+        if path == "/peer/promise":
+            given = await node.promise(body["member"])
+            return Answer(200 if given else 409, {"promise": given})
+        term = node.leading()
+        if term is None:
+            return Answer(503, {})
+        try:
+            found = await (term.cancel(body["uid"]) if path == "/peer/cancel"
+                           else node.poll_here(term, body["uid"]))
+        except CANT_NOW:
+            return Answer(503, {})
+        return Answer(404, {}) if found is None else Answer(200, found)
+
+    async def hello(self, worker: str, node: int, message: bytes) -> tuple[int, dict[str, Any]]:
+        name = self.names[node]
+        await asyncio.sleep(self.rng.uniform(0.001, 0.01))
+        if (worker, name) in self.cuts or (name, "workers") in self.cuts:
+            await asyncio.sleep(60.0)
+        found = self.nodes[name]
+        if found is None:
+            raise Unanswered("refused")
+        return found.on_report(decode_report(message))
+
+    # -- users
+
+    async def user(self, work: Callable[[Node], Coroutine[Any, Any, Any]]) -> Any:
+        """Ask some node that is up until it decides."""
+        for _ in range(200):
+            ups = [n for n in self.nodes.values() if n is not None]
+            if ups:
+                try:
+                    return await work(self.rng.choice(ups))
+                except CANT_NOW:
+                    pass
+            await asyncio.sleep(1.0)
+        raise AssertionError("no node ever decided")
+
+    async def submit(self, job: Submission) -> int:
+        self.specs[job.uid] = job
+        try:
+            status, _ = await self.user(lambda n: n.submit(decode_submission(encode(job))))
+        except Malformed:
+            return 400
+        except Rejected:
+            return 422
+        self.told.setdefault(job.uid, "queued")
+        return int(status)
+
+    async def cancel(self, uid: str) -> str:
+        found = await self.user(lambda n: n.cancel(uid))
+        self.hear(uid, found["phase"])
+        if found["phase"] == "aborted":
+            self.cancelled.setdefault(uid, self.now())
+        return str(found["phase"])
+
+    async def poll(self, uid: str) -> str | None:
+        found = await self.user(lambda n: n.poll(uid))
+        if found is None:
+            if uid in self.told:
+                self.broken.append(f"forgotten {uid}")
+            return None
+        self.hear(uid, found["phase"])
+        return str(found["phase"])
+
+    def hear(self, uid: str, phase: str) -> None:
+        if uid not in self.specs:
+            self.broken.append(f"invented {uid}")
+            return
+        before = self.told.get(uid)
+        if before in ("done", "aborted") and phase != before:
+            self.broken.append(f"went_back {uid}: {before} to {phase}")
+        if phase == "done" and not all(
+            f"{uid}/{n}" in self.done for n in range(self.specs[uid].pieces)
+        ):
+            self.broken.append(f"not_done {uid}")
+        self.told[uid] = phase
+
+    async def until_over(self, limit_s: float = 400.0) -> None:
+        """Poll all accepted jobs until each is done or cancelled."""
+        end = self.now() + limit_s
+        while self.now() < end:
+            await asyncio.sleep(3.0)
+            for uid in list(self.told):
+                await self.poll(uid)
+            if all(phase in ("done", "aborted") for phase in self.told.values()):
+                return
+        raise AssertionError(f"not over: {self.told}")
+
+    # -- rules
+
+    def on_machines(self) -> list[tuple[Worker, str]]:
+        return [(w, piece) for w in self.cloud.hosts.values()
+                for (piece, _), t in w.tasks.items() if t["phase"] != "exited"]
+
+    def run_s(self, piece: str) -> float:
+        return self.specs[piece.rpartition("/")[0]].guess_s
+
+    def gang_whole(self, piece: str, attempt: int) -> bool:
+        uid = piece.rpartition("/")[0]
+        spec = self.specs[uid]
+        if spec.shape != "gang":
+            return True
+        here = {p for w in self.cloud.hosts.values() if not w.hung
+                for (p, a) in w.tasks if a == attempt}
+        return all(f"{uid}/{n}" in here for n in range(spec.pieces))
+
+    def complete(self, worker: Worker, piece: str, attempt: int) -> None:
+        """A task is done; a gang's tasks are done together."""
+        gang = self.specs[piece.rpartition("/")[0]].shape == "gang"
+        for other in list(self.cloud.hosts.values()) if gang else [worker]:
+            for (name, number), task in other.tasks.items():
+                mate = gang and name.startswith(piece.rpartition("/")[0] + "/")
+                if number == attempt and (name == piece or mate) and task["phase"] == "running":
+                    task |= {"phase": "exited", "cause": "done"}
+                    self.done.add(name)
+                    other.changed.set()
+
+    def started(self, worker: Worker, piece: str) -> None:
+        self.starts += 1
+        uid = piece.rpartition("/")[0]
+        spec = self.specs[uid]
+        there = self.on_machines()
+        if any(other == piece for _, other in there):
+            self.broken.append(f"ran_twice {piece}")
+        if (worker.borrowed and not spec.borrowed) or (
+            spec.builds is not None and worker.build not in spec.builds
+        ) or (spec.paddock is not None and worker.zone != spec.paddock):
+            self.broken.append(f"wrong_place {piece}")
+        mates = [w for w, other in there if other.startswith(uid + "/")]
+        if spec.same_place and any(w.zone != worker.zone for w in mates):
+            self.broken.append(f"wrong_place {piece}: zones")
+        if spec.apart and sum(w.zone == worker.zone for w in mates) >= (spec.pieces + 1) // 2:
+            self.broken.append(f"wrong_place {piece}: not apart")
+        team = next(t for t in LIMITS["teams"] if t["name"] == spec.crew)
+        used = spec.vcpus + sum(
+            s.vcpus for _, other in there
+            if (s := self.specs[other.rpartition("/")[0]]).crew == spec.crew)
+        if used > team["cpus_max"] + 1e-6:
+            self.broken.append(f"quota {spec.crew}: {used}")
+        if uid in self.cancelled and (
+            self.now() > self.cancelled[uid] + LIMITS["workers"]["cancel_s"]
+        ):
+            self.broken.append(f"ran_cancelled {piece}")
--- /dev/null
+++ b/tests/test_days.py
@@ -0,0 +1,154 @@
+"""Small days from end to end, on fake time, against stand-ins that check the rules."""
+
+import asyncio
+
+import pytest
+
+from helpers import spec
+from standins import World, run
+
+JOBS = [
+    spec("req-1", pieces=10, guess_s=6.0),
+    spec("req-2", pieces=3, shape="gang", vcpus=7.0, guess_s=12.0, same_place=True),
+    spec("req-3", crew="red", pieces=6, vcpus=6.0, guess_s=8.0, borrowed=True),
+    spec("req-4", pieces=4, apart=True, shape="gang", guess_s=9.0, urgency="urgent"),
+    spec("req-5", crew="red", pieces=5, vcpus=5.0, guess_s=7.0, paddock="south"),
+    spec("req-6", pieces=8, guess_s=30.0, urgency="idle", builds=["big"]),
+]
+
+
+async def quiet(world: World) -> None:
+    await asyncio.sleep(1.0)
+
+
+async def leader_crash(world: World) -> None:
+    await asyncio.sleep(20.0)
+    name = next(n for n, node in world.nodes.items() if node is not None and node.leading())
+    await world.crash(name)
+    await asyncio.sleep(3.0)
+    world.boot(name)
+
+
+async def quick_restart(world: World) -> None:
+    """The leader is back within a fraction of a second, again and again."""
+    for _ in range(4):
+        await asyncio.sleep(9.0)
+        for name, node in list(world.nodes.items()):
+            if node is not None and node.leading():
+                await world.crash(name)
+                await asyncio.sleep(0.1)
+                world.boot(name)
+
+
+async def all_crash(world: World) -> None:
+    await asyncio.sleep(18.0)
+    for name in world.names:
+        await world.crash(name)
+    await asyncio.sleep(5.0)
+    for name in world.names:
+        world.boot(name)
+
+
+async def state_outage(world: World) -> None:
+    await asyncio.sleep(15.0)
+    world.state.down = True
+    await asyncio.sleep(25.0)
+    world.state.back()
+
+
+async def outage_and_crash(world: World) -> None:
+    await asyncio.sleep(15.0)
+    world.state.down = True
+    await asyncio.sleep(8.0)
+    await all_crash(world)
+    await asyncio.sleep(4.0)
+    world.state.back()
+
+
+async def refused_alone(world: World) -> None:
+    """Only the leader loses the state service: somebody else has to lead."""
+    await asyncio.sleep(15.0)
+    leader = world.leader()
+    assert leader is not None
+    name = leader.settings.member
+    world.cuts.add((name, "state"))
+    await asyncio.sleep(25.0)
+    other = world.leader()
+    assert other is not None and other is not leader
+    world.cuts.clear()
+
+
+async def hang(world: World) -> None:
+    """Machines hang and go on, some after their lease."""
+    await asyncio.sleep(14.0)
+    workers = [w for w in world.cloud.hosts.values() if w.tasks][:3]
+    for worker in workers:
+        worker.hung = True
+    await leader_crash(world)
+    for worker in workers:
+        await asyncio.sleep(4.0)
+        worker.hung = False
+
+
+async def lost_and_late(world: World) -> None:
+    """Answers are lost, and transactions, hires and direct calls are carried out late."""
+    world.loss = 0.1
+    world.late = lambda source, path: (
+        world.rng.choice((0.0, 0.0, 0.0, 8.0)) if path in ("/txn", "/hosts", "/do") else 0.0)
+    await quick_restart(world)
+    world.loss = 0.0
+    world.late = lambda source, path: 0.0
+
+
+async def cloud_outage(world: World) -> None:
+    await asyncio.sleep(3.0)
+    world.cloud.down = True
+    await asyncio.sleep(30.0)
+    world.cloud.down = False
+
+
+@pytest.mark.parametrize(
+    "trouble",
+    [quiet, leader_crash, quick_restart, all_crash, state_outage, outage_and_crash, refused_alone,
+     hang, lost_and_late, cloud_outage],
+    ids=lambda trouble: trouble.__name__,
+)
+@pytest.mark.parametrize("seed", [1, 2, 3])
+def test_a_day_keeps_the_rules_and_ends(trouble, seed: int) -> None:
+    async def day() -> World:
+        world = World(seed=seed)
+        trouble_task = asyncio.create_task(trouble(world))
+        for job in JOBS:
+            assert await world.submit(job) in (200, 201)
+            await asyncio.sleep(1.0)
+        assert await world.submit(JOBS[0]) == 200, "a repeat is answered as known"
+        await asyncio.sleep(12.0)
+        assert await world.cancel("req-6") in ("aborted", "done")
+        await trouble_task
+        await world.until_over()
+        assert await world.poll("req-999") is None
+        assert await world.submit(JOBS[5]) == 200
+        await asyncio.sleep(60.0)
+        assert not world.on_machines()
+        return world
+
+    world = run(day)
+    assert world.broken == []
+    assert world.starts >= 28
+
+
+def test_tasks_survive_an_outage_of_the_state_service_longer_than_their_lease() -> None:
+    async def day() -> World:
+        world = World()
+        await world.submit(spec("req-1", pieces=2, guess_s=60.0))
+        await asyncio.sleep(15.0)
+        assert len(world.on_machines()) == 2
+        world.state.down = True
+        await asyncio.sleep(40.0)  # the workers' lease is 12 s
+        assert len(world.on_machines()) == 2 and world.starts == 2
+        world.state.back()
+        await world.until_over()
+        return world
+
+    world = run(day)
+    assert world.broken == [] and world.starts == 2
--- a/tests/test_ledger.py
+++ b/tests/test_ledger.py
@@ -183,6 +183,21 @@
             led.on_report(report(name, 1, (piece, attempt, "running")), 0.5)
         assert len(one.bindings) == adopted
 
+    def test_a_gang_of_which_only_a_part_was_started_is_drawn_anew(self) -> None:
+        # Seen on a day of stand-ins with lost answers and quick restarts.
+        led = ledger()
+        for name in ("m1", "m2"):
+            led.add_machine(name, "small", "north", False, 0.0, rostered=True)
+        one = job(led, shape="gang", pieces=2)
+        led.on_report(report("m1", 1, ("req-1/0", 5, "gathering")), 0.5)
+        led.on_report(report("m2", 1), 0.5)
+        led.tick(0.6)
+        orders = led.on_report(report("m1", 2, ("req-1/0", 5, "gathering")), 1.0)
+        assert verbs(orders) == [("stop", "req-1/0")]
+        led.on_report(report("m1", 3, ("req-1/0", 5, "exited", "halted")), 1.5)
+        place(led, 2.0)
+        assert len(one.bindings) == 2 and one.attempt > 5
+
     def test_reports_before_the_jobs_are_loaded_only_keep_the_worker_alive(self) -> None:
         led = ledger()
         led.loaded = False
