--- a/src/salthead/term.py
+++ b/src/salthead/term.py
@@ -282,8 +282,11 @@
 
     async def decide_loop(self) -> None:
         while True:
+            # Not wait_for: when the event is set as the term ends, that returns the result and
+            # loses the cancellation, and this loop would keep the node from standing again.
             with contextlib.suppress(TimeoutError):
-                await asyncio.wait_for(self.changed.wait(), 0.25)
+                async with asyncio.timeout(0.25):
+                    await self.changed.wait()
             self.changed.clear()
             now = self.now()
             self.ledger.tick(now)
--- a/tests/standins.py
+++ b/tests/standins.py
@@ -58,10 +58,11 @@
     try:
         return loop.run_until_complete(work())
     finally:
-        for task in asyncio.all_tasks(loop):
+        tasks = asyncio.all_tasks(loop)
+        for task in tasks:
             task.cancel()
-        for _ in range(20):  # cancelled tasks wind up
-            loop.run_until_complete(asyncio.sleep(0))
+        loop.run_until_complete(asyncio.wait_for(
+            asyncio.gather(*tasks, return_exceptions=True), 60.0))
         loop.close()
 
 
--- a/tests/test_days.py
+++ b/tests/test_days.py
@@ -1,6 +1,7 @@
 """Small days from end to end, on fake time, against stand-ins that check the rules."""
 
 import asyncio
+from itertools import pairwise
 
 import pytest
 
@@ -137,6 +138,52 @@
     assert world.starts >= 28
 
 
+@pytest.mark.parametrize("ticks", range(6))
+def test_a_term_ends_whenever_it_is_told_to(ticks: int) -> None:
+    # The cause of the next test's case: cancelled just as its event was set, a loop went on.
+    async def day() -> bool:
+        world = World(seed=5, nodes=1)
+        await asyncio.sleep(5.0)
+        leader = world.leader()
+        assert leader is not None and leader.term is not None
+        loop = asyncio.create_task(leader.term.decide_loop())
+        await asyncio.sleep(1.15)  # it waits for its event
+        for _ in range(40):
+            leader.term.changed.set()
+            for _ in range(ticks):
+                await asyncio.sleep(0)
+            loop.cancel()
+            await asyncio.sleep(1.0)
+            if not loop.done():
+                return False
+            loop = asyncio.create_task(leader.term.decide_loop())
+            await asyncio.sleep(0.05 + 0.01 * _)
+        return True
+
+    assert run(day)
+
+
+def test_a_node_that_lost_the_lead_can_lead_again() -> None:
+    # Seen on our day held-cuts: a loop of the ended term swallowed its cancellation, so that the
+    # node never stood again, and after three such terms nobody did.
+    async def day() -> list[str]:
+        world = World(seed=5)
+        for n in range(12):
+            await world.submit(spec(f"req-{n}", pieces=8, guess_s=5.0))
+        led = []
+        for _ in range(9):
+            await asyncio.sleep(8.0)
+            leader = world.leader()
+            assert leader is not None, led
+            led.append(leader.settings.member)
+            world.cuts = {(led[-1], "state")}
+        return led
+
+    led = run(day)
+    assert len(set(led)) >= 2 and all(
+        one != other for one, other in pairwise(led))
+
+
 def test_tasks_survive_an_outage_of_the_state_service_longer_than_their_lease() -> None:
     async def day() -> World:
         world = World()
