--- a/src/salthead/metrics.py
+++ b/src/salthead/metrics.py
@@ -17,3 +17,5 @@
 MACHINES = Gauge("salthead_machines", "Machines by phase", ["phase"], registry=REGISTRY)
 WAITING = Gauge("salthead_waiting_tasks", "Tasks with no machine", registry=REGISTRY)
 ACTIVE = Gauge("salthead_active_jobs", "Jobs that are not over", registry=REGISTRY)
+SPENT = Gauge(
+    "salthead_cpu_seconds", "Rented CPU-seconds of this term by use", ["use"], registry=REGISTRY)
--- a/src/salthead/term.py
+++ b/src/salthead/term.py
@@ -73,6 +73,8 @@
         self.background: set[asyncio.Task[None]] = set()
         self.end_lock = asyncio.Lock()
         self.shown = -SHOW_S
+        self.accounted = node.now()
+        self.spent: dict[str, float] = {}
         self.renewal_failed = False
         self.promised = False
 
@@ -484,7 +486,24 @@
             "teams": teams, "jobs": jobs, "jobs_total": len(ledger.jobs),
             "machines": machines, "machines_total": len(ledger.machines)}
 
+    def account(self, now: float) -> None:
+        """Where the rented CPU-seconds go: the metric behind price and useful share."""
+        passed, self.accounted = now - self.accounted, now
+        for machine in self.ledger.machines.values():
+            if machine.phase != UP:
+                self.spent[machine.phase] = (
+                    self.spent.get(machine.phase, 0.0) + machine.cap[0] * passed)
+                continue
+            free = max(0.0, machine.cap[0] - machine.used[0])
+            self.spent["free"] = self.spent.get("free", 0.0) + free * passed
+            for binding in machine.bindings.values():
+                what = binding.phase or "starting"
+                self.spent[what] = self.spent.get(what, 0.0) + binding.need[0] * passed
+        for what, amount in self.spent.items():
+            metrics.SPENT.labels(what).set(amount)
+
     def show(self) -> None:
+        self.account(self.now())
         phases: dict[str, int] = {}
         for machine in self.ledger.machines.values():
             phases[machine.phase] = phases.get(machine.phase, 0) + 1
@@ -495,11 +514,13 @@
             self.shown = now
             machines = [m for m in self.ledger.machines.values() if m.phase == UP]
             log.info(
-                "fleet %s; %.0f of %.0f CPUs booked, %d idle; %d jobs, %d tasks waiting, %d bound",
+                "fleet %s; %.0f of %.0f CPUs booked, %d idle; %d jobs, %d tasks waiting, %d bound; "
+                "CPU-seconds spent: %s",
                 phases, sum(m.used[0] for m in machines), sum(m.cap[0] for m in machines),
                 sum(1 for m in machines if not m.busy()), len(self.ledger.jobs),
                 sum(job.waiting() for job in self.ledger.jobs.values()),
-                sum(len(job.bindings) for job in self.ledger.jobs.values()))
+                sum(len(job.bindings) for job in self.ledger.jobs.values()),
+                ", ".join(f"{what} {amount:.0f}" for what, amount in self.spent.items()))
         metrics.ACTIVE.set(len(self.ledger.jobs))
         metrics.WAITING.set(sum(job.waiting() for job in self.ledger.jobs.values()))
 
--- a/tests/standins.py
+++ b/tests/standins.py
@@ -255,11 +255,14 @@
         self.up, self.answered = True, self.world.now()
         report_s = LIMITS["workers"]["report_s"]
         while True:
-            while self.hung:
+            # A machine that hangs goes on within its lease or not at all.
+            while self.hung and self.world.now() - self.answered <= LIMITS["workers"]["lease_s"]:
                 await asyncio.sleep(0.2)
             if self.world.now() - self.answered > LIMITS["workers"]["lease_s"]:
                 self.tenure, self.tally, self.answered = self.tenure + 1, 0, self.world.now()
                 self.tasks.clear()
+            while self.hung:
+                await asyncio.sleep(0.2)
             sent, tenure, message = self.world.now(), self.tenure, encode(self.report())
             try:
                 status, body = await asyncio.wait_for(
