--- a/src/salthead/coordination/preemption.py
+++ b/src/salthead/coordination/preemption.py
@@ -27,8 +27,12 @@
         ledger.want_stop(binding, leeway(job))
 
 
-def lost_work(binding: Binding, now: float) -> float:
-    """CPU-seconds that stopping the task throws away, roughly."""
+def lost_work(binding: Binding, now: float, restart_s: float) -> float:
+    """CPU-seconds that stopping the task throws away, roughly.
+
+    ``restart_s`` is what goes by between a stop and the next start: without it a gang that has
+    just been placed looked cheaper to stop than a few small tasks that had run for a while.
+    """
     job = binding.job
     assert job is not None
     members = list(job.bindings.values()) if job.gang else [binding]
@@ -37,14 +41,19 @@
         run = max(0.0, now - member.started) if member.started else 0.0
         if job.spec.cairn_s > 0 and not (member.phase and run <= 0):
             run = min(run, job.spec.stow_s)
-        lost += (run + 1.0) * max(member.need[0], 0.1)
+        lost += (run + restart_s) * max(member.need[0], 0.1)
     return lost
 
 
 def may_stop(
-    ledger: Ledger, job: Job, victim: Binding, within: set[str],
+    ledger: Ledger, job: Job, victim: Binding, within: set[str], now: float,
 ) -> bool:
-    """The protocol's three sentences on preemption."""
+    """The protocol's three sentences on preemption, and one restraint of ours.
+
+    For a guarantee a gang is stopped only once a machine hired for the job could have been up.
+    Before, gangs and jobs within guarantees pushed each other aside every few seconds: a gang
+    of a higher urgency took the place of small tasks, and the next small job took the gang's.
+    """
     other = victim.job
     if other is None or other is job or other.complete:
         return False
@@ -52,6 +61,10 @@
         return True
     if job.uid not in within or other.crew == job.crew or other.uid in within:
         return False
+    if other.gang:
+        flavor = ledger.flavors.get(victim.machine.build)
+        if flavor is None or now - job.submitted < flavor.boot_s:
+            return False
     usage, most = ledger.usage[other.crew], ledger.guarantees[other.crew]
     return usage[0] > most[0] or usage[1] > most[1]
 
@@ -90,6 +103,7 @@
 def _room_in(
     ledger: Ledger, job: Job, base: list[Machine], wanted: int, within: set[str], now: float,
 ) -> tuple[float, list[tuple[Machine, list[Binding]]]] | None:
+    restart_s = 2.0 * ledger.limits.workers.report_s
     room: dict[str, list[float]] = {}
     options: dict[str, list[tuple[float, Binding]]] = {}
     for machine in base:
@@ -99,8 +113,8 @@
             if binding.stop is not None:  # it goes anyway
                 for n in range(3):
                     left[n] += binding.need[n]
-            elif may_stop(ledger, job, binding, within):
-                stoppable.append((lost_work(binding, now), binding))
+            elif may_stop(ledger, job, binding, within, now):
+                stoppable.append((lost_work(binding, now, restart_s), binding))
         stoppable.sort(key=lambda pair: pair[0], reverse=True)
         room[machine.name] = left
         options[machine.name] = stoppable
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -188,6 +188,43 @@
     assert any(m.held_for == one.uid for m in led.machines.values()) == stopped
 
 
+def test_a_gang_makes_way_for_a_guarantee_only_where_hiring_has_not_helped() -> None:
+    # Seen on troubles, prairie-ledger: gangs stopped seconds after their start, again and again.
+    led = ready()
+    for n in range(4):
+        machine(led, f"m{n}")
+    gang = job(led, uid="req-9", shape="gang", pieces=4, vcpus=8.0, at=1.0)
+    place(led)
+    assert len(gang.bindings) == 4
+    job(led, uid="req-1", crew="red", pieces=1, vcpus=4.0, at=2.0, urgency="idle")
+    preemption.preempt(led, place(led, 1.0), 1.0)
+    assert not any(b.stop is not None for b in gang.bindings.values())
+    for name in list(led.machines):
+        led.on_report(report(name, 2, *((f"req-9/{n}", b.attempt, "running")
+                                        for n, b in gang.bindings.items()
+                                        if b.machine.name == name)), 20.0)
+    preemption.preempt(led, place(led, 21.0), 21.0)
+    assert all(b.stop is not None for b in gang.bindings.values())
+
+
+def test_small_tasks_are_stopped_rather_than_a_gang_that_has_just_begun() -> None:
+    led = ready()
+    for n in range(3):
+        machine(led, f"m{n}")
+    gang = job(led, uid="req-9", shape="gang", pieces=2, vcpus=8.0, urgency="idle")
+    place(led)
+    free = next(m for m in led.machines.values() if not m.bindings)
+    small = job(led, uid="req-8", pieces=4, urgency="idle")
+    place(led, 0.1)
+    for index, binding in small.bindings.items():
+        assert binding.machine is free
+        binding.phase, binding.started = "running", -15.0 + index
+    urgent = job(led, uid="req-1", pieces=1, urgency="urgent")
+    preemption.preempt(led, [urgent], 1.0)
+    assert [n for n, b in small.bindings.items() if b.stop is not None] == [3]
+    assert not any(b.stop is not None for b in gang.bindings.values())
+
+
 def test_room_made_is_kept_for_the_job_it_was_made_for() -> None:
     led = ready()
     machine(led, "m1")
