Preemption for guarantees only after three boots; machine types in the state service

The right to a guarantee must hold, so three boots, and a gang is pushed aside once. Also: the leader stores the machine types, so that a node that starts during a cloud outage can answer submissions.

--- a/src/salthead/coordination/ledger.py
+++ b/src/salthead/coordination/ledger.py
@@ -152,6 +152,7 @@
     bindings: dict[int, Binding] = field(default_factory=dict)
     attempt: int = 0  # of a gang, while it is bound
     failed: bool = False  # a gang whose attempt is over, until all its tasks are gone
+    pushed: bool = False  # a gang that was stopped to make room or for its machine's sake
     over: str = ""  # done or aborted, once that is durable
     wait_until: float = 0.0  # after errors and refusals
     pause_until: float = 0.0  # after a draw without candidates
--- a/src/salthead/coordination/preemption.py
+++ b/src/salthead/coordination/preemption.py
@@ -10,6 +10,10 @@
 log = logging.getLogger("salthead.preemption")
 
 
+# Boots that a job within its guarantee waits for hired machines before others' work is stopped.
+PATIENCE_BOOTS = 3.0
+
+
 def leeway(job: Job) -> float:
     """The grace with which a task of the job saves; 0 when it can't."""
     return job.spec.stow_s if job.spec.cairn_s > 0 else 0.0
@@ -21,6 +25,7 @@
     if job is None or binding.stop is not None:
         return
     if job.gang:
+        job.pushed = True
         ledger.stop_gang(job, leeway(job), why)
     else:
         log.info("stop %s on %s: %s", binding.piece, binding.machine.name, why)
@@ -50,9 +55,11 @@
 ) -> bool:
     """The protocol's three sentences on preemption, and one restraint of ours.
 
-    For a guarantee a gang is stopped only once a machine hired for the job could have been up.
-    Before, gangs and jobs within guarantees pushed each other aside every few seconds: a gang
-    of a higher urgency took the place of small tasks, and the next small job took the gang's.
+    For a guarantee, work is stopped only once machines hired for the job could have been up
+    several times over, and a gang only once. Short tasks make way by themselves sooner than a
+    stop, a report and a start take; stopping them at once threw so much work away that
+    guarantees were kept no more often. Gangs and jobs within guarantees pushed each other aside
+    every few seconds.
     """
     other = victim.job
     if other is None or other is job or other.complete:
@@ -61,10 +68,11 @@
         return True
     if job.uid not in within or other.crew == job.crew or other.uid in within:
         return False
-    if other.gang:
-        flavor = ledger.flavors.get(victim.machine.build)
-        if flavor is None or now - job.submitted < flavor.boot_s:
-            return False
+    flavor = ledger.flavors.get(victim.machine.build)
+    if flavor is None or now - job.submitted < PATIENCE_BOOTS * flavor.boot_s or (
+        other.gang and other.pushed
+    ):
+        return False
     usage, most = ledger.usage[other.crew], ledger.guarantees[other.crew]
     return usage[0] > most[0] or usage[1] > most[1]
 
--- a/src/salthead/term.py
+++ b/src/salthead/term.py
@@ -9,6 +9,8 @@
 from collections.abc import Coroutine
 from typing import TYPE_CHECKING, Any
 
+import msgspec
+
 from salthead import metrics
 from salthead.bookkeeping import records
 from salthead.bookkeeping.store import (
@@ -23,7 +25,17 @@
 from salthead.coordination.lease import LeaseClock, promise_s
 from salthead.coordination.ledger import BOOTING, UP, Job, Ledger, Machine
 from salthead.protocol import names
-from salthead.protocol.messages import Hired, Hosts, Malformed, Report, Submission, shape
+from salthead.protocol.messages import (
+    Flavor,
+    Flavors,
+    Hired,
+    Hosts,
+    Malformed,
+    Report,
+    Submission,
+    encode,
+    shape,
+)
 from salthead.transport.client import Caller, Unanswered
 from salthead.transport.limits import Budget
 
@@ -75,6 +87,7 @@
         self.shown = -SHOW_S
         self.accounted = node.now()
         self.spent: dict[str, float] = {}
+        self.flavors_stored: list[Flavor] = []
         self.renewal_failed = False
         self.promised = False
 
@@ -400,8 +413,23 @@
                     self.node.note("roster", error)
             await self.node.rest(0.1)
 
+    async def store_flavors(self) -> None:
+        """Machine types for nodes that start while the cloud's interface is down."""
+        flavors = list(self.node.flavors.values())
+        if not flavors or flavors == self.flavors_stored:
+            return
+        value = msgspec.to_builtins(Flavors(builds=flavors))
+        if len(encode(value)) * 2 > self.limits.state.value_kb * 1024:
+            return  # text is longer than CBOR, and the limit is on text
+        await self.txn({}, [put(records.FLAVORS, value)])
+        self.flavors_stored = flavors
+
     async def list_loop(self) -> None:
         while True:
+            try:
+                await self.store_flavors()
+            except (Conflict, *TROUBLES) as error:
+                self.node.note("flavors", error)
             try:
                 await self.read_list()
             except TROUBLES as error:
