--- a/src/salthead/term.py
+++ b/src/salthead/term.py
@@ -23,7 +23,7 @@
 )
 from salthead.coordination import fleet, gangs, placement, preemption
 from salthead.coordination.lease import LeaseClock, promise_s
-from salthead.coordination.ledger import BOOTING, UP, Job, Ledger, Machine
+from salthead.coordination.ledger import BOOTING, MAX_ORDERS, UP, Job, Ledger, Machine
 from salthead.protocol import names
 from salthead.protocol.messages import (
     Flavor,
@@ -35,6 +35,7 @@
     Submission,
     encode,
     shape,
+    stop_order,
 )
 from salthead.transport.client import Caller, Unanswered
 from salthead.transport.limits import Budget
@@ -306,8 +307,38 @@
             now = self.now()
             self.ledger.tick(now)
             self.decide(now)
+            if self.valid():
+                self.send_stops()
             await asyncio.sleep(DECIDE_GAP_S)
 
+    def send_stops(self) -> None:
+        """Tell stops at once, rather than in the answer to the next report.
+
+        A stop names its attempt, so one that is carried out late harms nothing; answers to
+        reports repeat it. Starts are never sent like this: a late one would start a task that
+        has meanwhile been started elsewhere, cancelled or reaped.
+        """
+        for machine in self.ledger.machines.values():
+            if not machine.joined or not machine.endpoint:
+                continue
+            orders = []
+            for binding in machine.bindings.values():
+                if binding.stop is None or binding.stop_sent or not binding.phase:
+                    continue
+                binding.stop_sent = True
+                if binding.phase != names.FLUSHING or binding.stop == 0.0:
+                    orders.append(stop_order(binding.piece, binding.attempt, binding.stop))
+            if orders:
+                self.spawn(self.send(machine, orders[:MAX_ORDERS]))
+
+    async def send(self, machine: Machine, orders: list[dict[str, Any]]) -> None:
+        body = {"baton": self.token, "tenure": machine.tenure, "orders": orders}
+        try:
+            await self.node.workers.call(
+                "POST", names.DO, body, timeout=2.0, endpoint=machine.endpoint)
+        except Unanswered as error:
+            self.node.note("direct stop", error)
+
     def decide(self, now: float) -> None:
         if self.valid():
             starved = placement.place(self.ledger, self.node.rng, now)
