--- a/src/salthead/coordination/ledger.py
+++ b/src/salthead/coordination/ledger.py
@@ -92,12 +92,8 @@
     warn_at: float | None = None
     bindings: dict[tuple[str, int], Binding] = field(default_factory=dict)
     ghosts: dict[tuple[str, int, int], Binding] = field(default_factory=dict)
-    exits: set[tuple[str, int, int]] = field(default_factory=set)
     hired_at: float = 0.0
     endpoint: str = ""
-    listed: str = ""  # phase in the cloud's list, as last read
-    up_at: float = 0.0
-    idle_since: float = 0.0
     condemned: str = ""  # why it takes no more tasks and is to be returned
     error_jobs: set[str] = field(default_factory=set)
     error_until: float = 0.0
@@ -350,8 +346,6 @@
         machine.bindings.pop((job.uid, binding.index), None)
         job.bindings.pop(binding.index, None)
         self._book(machine, binding.need, binding.crew, -1.0)
-        if not machine.busy():
-            machine.idle_since = now
         if job.gang:
             if not job.complete and not job.failed:
                 self.fail_gang(job, now, why)
@@ -402,7 +396,7 @@
             index = self.builds.intern(build)
             machine = Machine(
                 name, index, self.zones.intern(zone), borrowed, self.capacity(index),
-                hired_at=now, idle_since=now,
+                hired_at=now,
             )
             self.machines[name] = machine
             if rostered:
@@ -415,7 +409,6 @@
             self.release(binding, now, why)
         for key in list(machine.ghosts):
             self._drop_ghost(machine, key, now)
-        machine.exits.clear()
 
     def machine_gone(self, machine: Machine, now: float) -> None:
         """The cloud confirmed the return: the machine and all on it are gone."""
@@ -510,7 +503,6 @@
         if machine.phase in (BOOTING, LOST):
             log.info("machine %s up, %.1f s after its hire", machine.name, now - machine.hired_at)
             machine.phase = UP
-            machine.up_at = machine.idle_since = now
             self.on_change()
         machine.tenure, machine.tally = report.tenure, report.tally
         machine.heard = now
@@ -532,7 +524,6 @@
         orders: list[dict[str, Any]] = []
         seen: set[tuple[str, int]] = set()
         seen_ghosts: set[tuple[str, int, int]] = set()
-        live_exits: set[tuple[str, int, int]] = set()
         for piece in report.pieces:
             try:
                 uid, index = split_piece(piece.piece)
@@ -549,7 +540,6 @@
                     self._late_exit(uid, index, piece, now)
                 if self._may_reap(uid, index, piece):
                     orders.append(reap_order(piece.piece, piece.attempt))
-                live_exits.add((uid, index, piece.attempt))
                 continue
             if binding is None:
                 binding = self._adopt(machine, uid, index, piece, now)
@@ -586,7 +576,6 @@
         for ghost_key in list(machine.ghosts):
             if ghost_key not in seen_ghosts:
                 self._drop_ghost(machine, ghost_key, now)
-        machine.exits = live_exits
         # Room that this report freed is filled by this answer, not a report period later.
         if self.room_freed:
             self.on_room(now)
@@ -652,8 +641,6 @@
             self.ghost_jobs[key[0]] = left
         else:
             self.strangers.discard(key[0])
-        if not machine.busy():
-            machine.idle_since = now
         self.on_change()
 
     def know_stranger(self, spec: Submission) -> None:
--- a/src/salthead/term.py
+++ b/src/salthead/term.py
@@ -491,7 +491,6 @@
                     machine.hired_at = now - host.age_s
                 elif machine.phase == BOOTING:
                     machine.hired_at = min(machine.hired_at, now - host.age_s)
-                machine.listed = host.phase
                 if host.phase == names.FAILED and not machine.condemned:
                     machine.condemned = "failed"
                     log.info("machine %s failed", host.uid)
--- a/src/salthead/transport/server.py
+++ b/src/salthead/transport/server.py
@@ -22,6 +22,7 @@
 )
 from salthead.service import Later, Node, Rejected
 from salthead.settings import split_endpoint
+from salthead.term import Term
 from salthead.transport.client import Unanswered
 
 log = logging.getLogger("salthead.server")
@@ -155,8 +156,11 @@
             self.reply(200, term.overview())
 
 
-class PeerPoll(Base):
-    label = "peer poll"
+class PeerJob(Base):
+    """What another node passes on to the leader."""
+
+    def act(self, term: Term) -> Any:
+        raise NotImplementedError
 
     async def post(self) -> None:
         try:
@@ -168,23 +172,21 @@
         if term is None:
             self.reply(503, {"error": "not the leader"})
             return
-        await self.user_call(uid, lambda uid: self.node.poll_here(term, uid))
+        await self.user_call(uid, self.act(term))
+
+
+class PeerPoll(PeerJob):
+    label = "peer poll"
+
+    def act(self, term: Term) -> Any:
+        return lambda uid: self.node.poll_here(term, uid)
 
 
-class PeerCancel(Base):
+class PeerCancel(PeerJob):
     label = "peer cancel"
 
-    async def post(self) -> None:
-        try:
-            uid = str(decode_map(self.request.body).get("uid"))
-        except Malformed as error:
-            self.reply(400, {"error": str(error)})
-            return
-        term = self.node.leading()
-        if term is None:
-            self.reply(503, {"error": "not the leader"})
-            return
-        await self.user_call(uid, term.cancel)
+    def act(self, term: Term) -> Any:
+        return term.cancel
 
 
 class PeerPromise(Base):
