A leader that only the workers lost gives the lead up

Workers that were sent to it and come back are counted by the other nodes; a leader that hears fewer than knock elsewhere resigns and abstains for the length of a promise. Ruled out: cuts between zones, where half of the machines are heard and nobody hears more.

--- a/src/salthead/coordination/ledger.py
+++ b/src/salthead/coordination/ledger.py
@@ -459,6 +459,13 @@
         """Machines that may run anything an earlier leader started."""
         return [m for m in self.machines.values() if m.rostered and not m.joined and m.phase == UP]
 
+    def hearing(self, now: float) -> tuple[int, int]:
+        """How many machines that are up were heard lately, and how many were not."""
+        up = [m for m in self.machines.values() if m.phase == UP]
+        late = now - 3.0 * self.limits.workers.report_s
+        heard = sum(1 for m in up if m.heard >= late)
+        return heard, len(up) - heard
+
     def may_place(self, job: Job) -> bool:
         """Whether all tasks of the job are accounted for.
 
--- a/src/salthead/protocol/names.py
+++ b/src/salthead/protocol/names.py
@@ -20,6 +20,7 @@
 # paths between controllers
 PEER_POLL = "/peer/poll"
 PEER_CANCEL = "/peer/cancel"
+PEER_KNOCKS = "/peer/knocks"
 PEER_OVERVIEW = "/peer/overview"
 PEER_PROMISE = "/peer/promise"
 
--- a/src/salthead/service.py
+++ b/src/salthead/service.py
@@ -32,6 +32,8 @@
 log = logging.getLogger("salthead.service")
 
 TROUBLES = (Refused, Unanswered, Malformed, NoLease, Conflict, KeyError, TypeError, ValueError)
+# A worker whose leader hangs tries the next node after its time-out of 4 s and 1 s more.
+KNOCK_S = 6.0
 FINALS_KEPT = 20_000
 
 
@@ -67,6 +69,7 @@
             lease.leader_ttl(self.limits.workers.lease_s), self.now())
         self.finals: OrderedDict[str, tuple[str, int]] = OrderedDict()
         self.trouble: dict[str, float] = {}
+        self.knocks: dict[str, float] = {}  # workers that this node sent to the leader, and when
 
     # -- small helpers ------------------------------------------------------------------
 
@@ -217,16 +220,23 @@
 
     # -- what workers ask ---------------------------------------------------------------
 
-    def redirect(self) -> tuple[int, dict[str, Any]]:
+    def redirect(self, who: str) -> tuple[int, dict[str, Any]]:
         """The answer to a report of a node that may not act on it."""
+        self.knocks[who] = self.now()
         if self.leader is not None and self.leader != self.settings.member:
             return 421, {"herder": self.leader}
         return 503, {"error": "no leader"}
 
+    def knocked(self) -> int:
+        """How many workers came here lately although another node leads."""
+        since = self.now() - KNOCK_S
+        self.knocks = {who: at for who, at in self.knocks.items() if at >= since}
+        return len(self.knocks)
+
     def on_report(self, report: Report) -> tuple[int, dict[str, Any]]:
         term = self.leading()
         if term is None:
-            return self.redirect()
+            return self.redirect(report.saltlick)
         orders = term.on_report(report)
         if orders is None:
             return 503, {"error": "not for this report"}
--- a/src/salthead/term.py
+++ b/src/salthead/term.py
@@ -102,7 +102,7 @@
         """Until the lease has ended; then nothing of this term goes on."""
         tasks = [
             asyncio.create_task(loop) for loop in (
-                self.renew_loop(), self.work_loop(), self.promise_loop(),
+                self.renew_loop(), self.work_loop(), self.promise_loop(), self.resign_loop(),
             )
         ]
         try:
@@ -175,6 +175,35 @@
                 log.info("state service lost; %s by all peers",
                          "promised the lead" if counts else "not promised the lead")
 
+    async def resign_loop(self) -> None:
+        """Give the lead up when the workers reach another node, but not this one.
+
+        A leader that is cut off from the workers alone would keep its lease while theirs end.
+        """
+        grace_s = 3.0 * self.limits.workers.report_s
+        while True:
+            await self.node.rest(1.0)
+            now = self.now()
+            heard, silent = self.ledger.hearing(now)
+            if silent <= heard or now - self.ledger.took_over < grace_s + 1.0:
+                continue
+            knocks = await asyncio.gather(
+                *(self.ask_knocks(peer) for peer in self.node.peers.values()))
+            if max(knocks, default=0) > heard:
+                log.warning("resigning: %d of %d workers heard, %d knock elsewhere",
+                            heard, heard + silent, max(knocks))
+                # Longer than an election, so that a node that hears the workers wins it.
+                self.node.abstention.promise(self.now())
+                return
+
+    async def ask_knocks(self, peer: Caller) -> int:
+        try:
+            answer = await peer.call("POST", names.PEER_KNOCKS, timeout=1.0)
+        except Unanswered:
+            return 0
+        knocks = answer.body.get("knocks")
+        return knocks if answer.status == 200 and type(knocks) is int else 0
+
     async def ask_promise(self, peer: Caller, timeout: float) -> bool:
         try:
             answer = await peer.call(
--- a/src/salthead/transport/server.py
+++ b/src/salthead/transport/server.py
@@ -115,7 +115,7 @@
     def post(self) -> None:
         if self.node.leading() is None:
             # Nothing in the report matters to a node that can't act on it.
-            status, body = self.node.redirect()
+            status, body = self.node.redirect(self.request.remote_ip or "")
         else:
             try:
                 status, body = self.node.on_report(decode_report(self.request.body))
@@ -202,6 +202,13 @@
         self.reply(200 if given else 409, {"promise": given})
 
 
+class PeerKnocks(Base):
+    label = "peer knocks"
+
+    def post(self) -> None:
+        self.reply(200, {"knocks": self.node.knocked()})
+
+
 class NoSuchPath(Base):
     def prepare(self) -> None:
         self.reply(404, {"error": "no such path"})
@@ -235,6 +242,7 @@
         (names.PEER_POLL, PeerPoll),
         (names.PEER_CANCEL, PeerCancel),
         (names.PEER_PROMISE, PeerPromise),
+        (names.PEER_KNOCKS, PeerKnocks),
         (names.PEER_OVERVIEW, PeerOverview),
     ])
 
--- a/tests/standins.py
+++ b/tests/standins.py
@@ -427,6 +427,8 @@
         node = self.nodes[name]
         if node is None:
             raise Unanswered("refused")
+        if path == "/peer/knocks":
+            return Answer(200, {"knocks": node.knocked()})
         if path == "/peer/promise":
             given = await node.promise(body["member"])
             return Answer(200 if given else 409, {"promise": given})
--- a/tests/test_days.py
+++ b/tests/test_days.py
@@ -79,6 +79,19 @@
     world.cuts.clear()
 
 
+async def cut_from_workers(world: World) -> None:
+    """Only the workers lose the leader: another node has to lead before their leases end."""
+    await asyncio.sleep(15.0)
+    leader = world.leader()
+    assert leader is not None
+    world.cuts.add((leader.settings.member, "workers"))
+    await asyncio.sleep(11.0)
+    other = world.leader()
+    assert other is not None and other is not leader
+    await asyncio.sleep(20.0)
+    world.cuts.clear()
+
+
 async def hang(world: World) -> None:
     """Machines hang and go on, some after their lease."""
     await asyncio.sleep(14.0)
@@ -117,7 +130,7 @@
 @pytest.mark.parametrize(
     "trouble",
     [quiet, leader_crash, quick_restart, all_crash, state_outage, outage_and_crash, refused_alone,
-     hang, lost_and_late, cloud_outage],
+     cut_from_workers, hang, lost_and_late, cloud_outage],
     ids=lambda trouble: trouble.__name__,
 )
 @pytest.mark.parametrize("seed", [1, 2, 3])
