Wait a boot's time for machines that are lost many at once

A single lost machine is still returned at once. Not done: a node in the cut zone could keep the leases there alive with the leader's token; that needs an agreement kept in the state service.

--- a/src/salthead/coordination/fleet.py
+++ b/src/salthead/coordination/fleet.py
@@ -223,6 +223,16 @@
             log.info("machine %s is not needed: cordoned", machine.name)
 
 
+def lost_many(ledger: Ledger) -> bool:
+    """Whether so many machines are lost at once that a cut is likelier than their deaths.
+
+    They are up behind the cut, with no tasks left; waiting for them for as long as a boot takes
+    is cheaper than to return them and boot as many.
+    """
+    lost = sum(1 for m in ledger.machines.values() if m.phase == LOST)
+    return lost > max(1.0, SILENT_FEW * sum(1 for m in ledger.machines.values() if m.rostered))
+
+
 def silent_few(ledger: Ledger, machine: Machine, now: float) -> bool:
     """Whether to return a silent machine rather than wait for its lease to end.
 
@@ -245,7 +255,9 @@
 ) -> str:
     """Why the machine should be returned now; empty when it should not."""
     if machine.phase == LOST:
-        return "lost"
+        flavor = ledger.flavors.get(machine.build)
+        cut = lost_many(ledger) and flavor is not None and now - machine.lost_at < flavor.boot_s
+        return "" if cut else "lost"
     if not ledger.ready and silent_few(ledger, machine, now):
         return "silent after a takeover"
     if machine.condemned:
--- a/src/salthead/coordination/ledger.py
+++ b/src/salthead/coordination/ledger.py
@@ -93,6 +93,7 @@
     bindings: dict[tuple[str, int], Binding] = field(default_factory=dict)
     ghosts: dict[tuple[str, int, int], Binding] = field(default_factory=dict)
     hired_at: float = 0.0
+    lost_at: float = 0.0
     endpoint: str = ""
     condemned: str = ""  # why it takes no more tasks and is to be returned
     error_jobs: set[str] = field(default_factory=set)
@@ -431,6 +432,7 @@
                 # goes on does so with the next session and no tasks.
                 log.info("machine %s lost: unheard for %.1f s", machine.name, now - machine.heard)
                 machine.phase = LOST
+                machine.lost_at = now
                 machine.min_tenure = machine.tenure + 1
                 machine.joined = False
                 self._lose_tasks(machine, now, f"{machine.name} lost")
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -359,6 +359,22 @@
         led.tick(600.0)
         assert [m.name for m in self.plan(led, 600.0).returns] == ["m1", "m2"]
 
+    @pytest.mark.parametrize(
+        ("lost", "up", "now", "returned"),
+        [(1, 9, 101.0, 1), (5, 5, 101.0, 0), (5, 5, 121.0, 5)],
+    )
+    def test_many_machines_lost_at_once_are_waited_for(
+        self, lost: int, up: int, now: float, returned: int
+    ) -> None:
+        # Seen on our day zones-apart: half of the fleet returned and booted again in a cut.
+        led = ready()
+        for n in range(lost + up):
+            machine(led, f"m{n}")
+        job(led, pieces=10, vcpus=8.0, guess_s=500.0, crew="red")
+        for n in range(lost):
+            led.machines[f"m{n}"].phase, led.machines[f"m{n}"].lost_at = "lost", 100.0
+        assert len(self.plan(led, now).returns) == returned
+
     @pytest.mark.parametrize(
         ("silent", "heard", "now", "returned"),
         [(1, 9, 2.0, 0), (1, 9, 4.0, 1), (4, 6, 4.0, 0), (1, 1, 4.0, 1)],
