--- a/src/salthead/coordination/gangs.py
+++ b/src/salthead/coordination/gangs.py
@@ -42,13 +42,17 @@
     """Keep machines for each gang that found no candidates: all that it needs, or none."""
     # Renewed at each of the gang's draws, which are at most a pause apart.
     until = now + 3.0 * ledger.limits.workers.report_s
+    crowded = any(not job.gang and job.waiting() for job in ledger.jobs.values())
     for job in starved:
         if not job.gang or placement.quota_left(ledger, job) < job.spec.pieces:
             continue
-        # Kept room stands empty, so it is kept no earlier than the gang's own target asks.
+        # Kept room stands empty, so while others wait for room it is kept no earlier than the
+        # gang's own target asks.
         run_s = ledger.estimates.run_s(job.spec.breed, job.spec.guess_s)
         start_by = order.target(ledger, job, run_s, now)
-        if start_by < math.inf and now - job.submitted < 0.5 * (start_by - job.submitted):
+        if crowded and start_by < math.inf and (
+            now - job.submitted < 0.5 * (start_by - job.submitted)
+        ):
             continue
         rows = []
         for machine in placement.base_candidates(ledger, job, now):
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -281,10 +281,24 @@
         place(led, 1.5)
         assert len(gang.bindings) == 2 and late.bindings == before
 
+    @pytest.mark.parametrize(("crowded", "kept"), [(True, False), (False, True)])
+    def test_room_is_kept_early_only_while_nobody_else_waits(
+        self, crowded: bool, kept: bool
+    ) -> None:
+        # Seen on rough, moana-buoys: 11 gangs waited beside 200 free CPUs, all scattered.
+        led = ready(objectives=[{"kind": "wait", "class": "b", "within_s": 100.0, "share": 0.9}])
+        self.crowd(led)
+        gang = job(led, uid="req-1", shape="gang", pieces=2, vcpus=8.0, at=0.0)
+        if crowded:
+            job(led, uid="req-2", pieces=1)
+        gangs.keep_room(led, [gang], 0.0)
+        assert any(m.held_for for m in led.machines.values()) == kept
+
     def test_room_is_kept_only_once_half_of_the_wait_is_gone(self) -> None:
         led = ready(objectives=[{"kind": "wait", "class": "b", "within_s": 100.0, "share": 0.9}])
         self.crowd(led)
         gang = job(led, uid="req-1", shape="gang", pieces=2, vcpus=8.0, at=0.0)
+        job(led, uid="req-2", pieces=1)
         gangs.keep_room(led, [gang], 0.0)
         assert not any(m.held_for for m in led.machines.values())
         for name in ("m0", "m1"):
