--- /dev/null
+++ b/src/salthead/bookkeeping/store.py
@@ -0,0 +1,155 @@
+"""The state service, spoken to by its protocol."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import Any
+
+from salthead.protocol import names
+from salthead.transport.client import Answer, Caller, Unanswered
+from salthead.transport.limits import Budget
+
+Row = tuple[Any, int]  # value, stamp
+
+
+class Refused(Exception):
+    """The state service answered, and did not execute the request."""
+
+    def __init__(self, status: int, what: str) -> None:
+        super().__init__(f"{status} {what}")
+        self.status = status
+
+
+class Conflict(Exception):
+    """A condition of a transaction did not hold."""
+
+    def __init__(self, failed: list[str]) -> None:
+        super().__init__(f"conditions failed: {failed}")
+        self.failed = failed
+
+
+class NoLease(Exception):
+    """The lease has ended."""
+
+
+class Compacted(Exception):
+    """The change log no longer reaches back that far."""
+
+
+def _int(body: dict[str, Any], name: str) -> int:
+    value = body.get(name)
+    if type(value) is not int:
+        raise Unanswered(f"state service: {name} missing")
+    return value
+
+
+class Store:
+    def __init__(
+        self, endpoint: str, rps: float, write_rps: float, now: Callable[[], float],
+    ) -> None:
+        # Leases have slots and a budget of their own: they never queue behind bulk work.
+        self.urgent = Caller(endpoint, 4)
+        self.bulk = Caller(endpoint, 8)
+        self.watches = Caller(endpoint, 4)
+        # Half of what all nodes together may ask is left for the others and for leases.
+        self.reads = Budget(rps * 0.4, rps * 0.3, now)
+        self.writes = Budget(write_rps * 0.5, write_rps * 0.5, now)
+        self.now = now
+        self.answered = -1e9  # when the service last did something for this node
+
+    def _check(self, answer: Answer, what: str, *expected: int) -> Answer:
+        if answer.status in expected:
+            self.answered = self.now()
+            return answer
+        raise Refused(answer.status, what)
+
+    async def get(self, key: str, timeout: float = 1.5, urgent: bool = False) -> Row | None:
+        if not urgent:
+            await self.reads.wait()
+        caller = self.urgent if urgent else self.bulk
+        answer = await caller.call("GET", f"{names.KEYS}/{key}", timeout=timeout)
+        self._check(answer, key, 200, 404)
+        if answer.status == 404:
+            return None
+        return answer.body.get("value"), _int(answer.body, "stamp")
+
+    async def rows(self, prefix: str) -> tuple[dict[str, Row], int]:
+        """All rows below a prefix, and the epoch from which to watch for what changes after.
+
+        Pages are read one after the other; the first page's epoch is returned, so that a
+        watch from there repeats changes rather than missing any.
+        """
+        rows: dict[str, Row] = {}
+        start = ""
+        first: int | None = None
+        while True:
+            await self.reads.wait()
+            query: dict[str, Any] = {"prefix": prefix, "most": 500}
+            if start:
+                query["from"] = start
+            answer = self._check(
+                await self.bulk.call("GET", names.KEYS, query=query, timeout=3.0), prefix, 200)
+            if first is None:
+                first = _int(answer.body, "epoch")
+            for row in answer.body.get("rows") or []:
+                rows[row["path"]] = (row.get("value"), row["stamp"])
+                start = row["path"]
+            if not answer.body.get("truncated"):
+                return rows, first
+
+    async def txn(
+        self, when: dict[str, int], apply: list[dict[str, Any]], timeout: float = 2.0,
+        urgent: bool = False,
+    ) -> int:
+        if not urgent:
+            await self.writes.wait(len(apply))
+        caller = self.urgent if urgent else self.bulk
+        body = {
+            "when": [{"path": key, "stamp": stamp} for key, stamp in when.items()],
+            "apply": apply,
+        }
+        answer = await caller.call("POST", names.TXN, body, timeout=timeout)
+        if answer.status == 400 and "lease" in str(answer.body.get("error", "")):
+            raise NoLease("txn")
+        self._check(answer, "txn", 200, 409)
+        if answer.status == 409:
+            raise Conflict([str(key) for key in answer.body.get("failed") or []])
+        return _int(answer.body, "epoch")
+
+    async def grant(self, ttl_s: float, timeout: float = 1.5) -> int:
+        answer = await self.urgent.call(
+            "POST", names.GRANTS, {"ttl_ms": round(ttl_s * 1000)}, timeout=timeout)
+        self._check(answer, "grant", 200)
+        return _int(answer.body, "tether")
+
+    async def extend(self, tether: int, timeout: float) -> None:
+        answer = await self.urgent.call(
+            "POST", f"{names.GRANTS}/{tether}/extend", timeout=timeout)
+        self._check(answer, "extend", 200, 404)
+        if answer.status == 404:
+            raise NoLease("extend")
+
+    async def end_grant(self, tether: int) -> None:
+        await self.urgent.call("DELETE", f"{names.GRANTS}/{tether}", timeout=1.0)
+
+    async def changes(
+        self, prefix: str, since: int, wait_s: float
+    ) -> tuple[list[dict[str, Any]], int]:
+        answer = await self.watches.call(
+            "GET", names.CHANGES, timeout=wait_s + 2.0,
+            query={"prefix": prefix, "from": since, "wait_ms": round(wait_s * 1000)})
+        if answer.status == 410:
+            raise Compacted(prefix)
+        self._check(answer, prefix, 200)
+        return list(answer.body.get("log") or []), _int(answer.body, "epoch")
+
+
+def put(key: str, value: Any, tether: int | None = None) -> dict[str, Any]:
+    change: dict[str, Any] = {"set": key, "value": value}
+    if tether is not None:
+        change["tether"] = tether
+    return change
+
+
+def drop(key: str) -> dict[str, Any]:
+    return {"drop": key}
--- /dev/null
+++ b/src/salthead/coordination/fleet.py
@@ -0,0 +1,247 @@
+"""How many machines of which kind: what to hire, and what to return."""
+
+from __future__ import annotations
+
+import logging
+import math
+from collections import defaultdict
+from dataclasses import dataclass, field
+
+from salthead.coordination import placement
+from salthead.coordination.ledger import (
+    BOOTING,
+    LOST,
+    UP,
+    Job,
+    Ledger,
+    Machine,
+    Vec,
+)
+
+log = logging.getLogger("salthead.fleet")
+
+# A deleted machine costs at least this long (protocol), so nothing shorter is worth a hire.
+LEAST_CHARGE_S = 60.0
+# A boot this many times longer than the cloud names is taken for one that never ends.
+BOOT_PATIENCE = 2.5
+# After a refusal the same kind is asked for again with doubling pauses.
+REFUSED_S, REFUSED_MAX_S = 5.0, 40.0
+HIRE_MOST = 50
+
+Kind = tuple[int, int, bool]  # type, zone, borrowed
+
+
+@dataclass
+class Refusals:
+    """Kinds of machines that the cloud refused lately."""
+
+    until: dict[Kind, float] = field(default_factory=dict)
+    pause: dict[Kind, float] = field(default_factory=dict)
+
+    def refused(self, kind: Kind, now: float) -> None:
+        pause = min(REFUSED_MAX_S, self.pause.get(kind, REFUSED_S / 2) * 2)
+        self.pause[kind] = pause
+        self.until[kind] = now + pause
+
+    def granted(self, kind: Kind) -> None:
+        self.pause.pop(kind, None)
+        self.until.pop(kind, None)
+
+    def open(self, kind: Kind, now: float) -> bool:
+        return now >= self.until.get(kind, -math.inf)
+
+
+@dataclass
+class Slot:
+    """A machine in the plan: one that is there, is booting, or would be hired."""
+
+    kind: Kind
+    room: list[float]
+    machine: Machine | None = None
+    taken: bool = False
+
+    def fits(self, need: Vec) -> bool:
+        return all(r + 1e-6 >= n for r, n in zip(self.room, need, strict=True))
+
+    def take(self, need: Vec) -> None:
+        self.taken = True
+        for n in range(3):
+            self.room[n] -= need[n]
+
+
+@dataclass
+class Plan:
+    hires: dict[Kind, int] = field(default_factory=dict)
+    returns: list[Machine] = field(default_factory=list)
+
+
+def price(ledger: Ledger, kind: Kind) -> float:
+    flavor = ledger.flavors[kind[0]]
+    return flavor.spot_price if kind[2] and flavor.spot_price is not None else flavor.rate
+
+
+def per_machine(cap: Vec, need: Vec) -> int:
+    return int(min((c + 1e-6) // n for c, n in zip(cap, need, strict=True) if n > 0))
+
+
+def kinds_for(ledger: Ledger, job: Job, refusals: Refusals, now: float) -> list[Kind]:
+    """Kinds that suit the job, the cheapest place for one of its tasks first."""
+    found: list[tuple[float, Kind]] = []
+    for build, flavor in ledger.flavors.items():
+        if job.builds is not None and build not in job.builds:
+            continue
+        fit = per_machine(ledger.capacity(build), job.need)
+        if fit < 1:
+            continue
+        for name in flavor.paddocks:
+            zone = ledger.zones.intern(name)
+            if job.zone is not None and zone != job.zone:
+                continue
+            for borrowed in (False, True):
+                if borrowed and (not job.spec.borrowed or flavor.spot_price is None):
+                    continue
+                kind = (build, zone, borrowed)
+                if refusals.open(kind, now):
+                    found.append((price(ledger, kind) / fit, kind))
+    found.sort()
+    return [kind for _, kind in found]
+
+
+def horizon(ledger: Ledger) -> float:
+    """Work that the fleet gets to before a new machine would be up needs no new machine."""
+    boots = [flavor.boot_s for flavor in ledger.flavors.values()]
+    return max(LEAST_CHARGE_S, min(boots, default=0.0))
+
+
+def supply(ledger: Ledger, now: float, coming: dict[Kind, int]) -> list[Slot]:
+    """Room that is free, or will be by the time that a new machine could be up."""
+    slots: list[Slot] = []
+    boots = [flavor.boot_s for flavor in ledger.flavors.values()]
+    soon = now + 0.7 * min(boots, default=0.0)
+    for machine in ledger.machines.values():
+        kind = (machine.build, machine.zone, machine.borrowed)
+        if machine.condemned or machine.returning or machine.warn_at is not None:
+            continue
+        if machine.phase == BOOTING:
+            slots.append(Slot(kind, list(machine.cap), machine))
+        elif machine.phase == UP:
+            room = list(machine.room())
+            for binding in machine.bindings.values():
+                job = binding.job
+                if binding.stop is not None or (
+                    job is not None and binding.started
+                    and binding.started + job.spec.guess_s < soon
+                ):
+                    for n in range(3):
+                        room[n] += binding.need[n]
+            slots.append(Slot(kind, room, machine))
+    for kind, count in coming.items():
+        slots += [Slot(kind, list(ledger.capacity(kind[0]))) for _ in range(count)]
+    return slots
+
+
+def suits(job: Job, kind: Kind) -> bool:
+    return (
+        (job.spec.borrowed or not kind[2])
+        and (job.builds is None or kind[0] in job.builds)
+        and (job.zone is None or kind[1] == job.zone)
+    )
+
+
+def plan(
+    ledger: Ledger, now: float, refusals: Refusals, coming: dict[Kind, int], idle_s: float,
+) -> Plan:
+    """The difference between the fleet that the queue wants and the one that is there."""
+    result = Plan()
+    if not ledger.flavors:
+        return result
+    slots = supply(ledger, now, coming)
+    new: list[Slot] = []
+    if ledger.ready:
+        left: dict[int, list[float]] = {
+            crew: [most[n] - ledger.usage[crew][n] for n in range(2)]
+            for crew, most in enumerate(ledger.caps)
+        }
+        within = placement.entitled(ledger)
+        span = horizon(ledger)
+        for job in placement.queue(ledger, within):
+            _provide(ledger, job, slots, new, left[job.crew], span, refusals, now)
+    counts: dict[Kind, int] = defaultdict(int)
+    for slot in new:
+        counts[slot.kind] += 1
+    result.hires = {kind: min(count, HIRE_MOST) for kind, count in counts.items()}
+    needed = {slot.machine.name for slot in slots if slot.machine is not None and slot.taken}
+    result.returns = [
+        machine for machine in ledger.machines.values()
+        if not machine.returning and wanted_back(ledger, machine, needed, now, idle_s)
+    ]
+    return result
+
+
+def wanted_back(
+    ledger: Ledger, machine: Machine, needed: set[str], now: float, idle_s: float,
+) -> str:
+    """Why the machine should be returned now; empty when it should not."""
+    if machine.phase == LOST:
+        return "lost"
+    if machine.condemned:
+        return machine.condemned if not machine.busy() else ""
+    if machine.phase == BOOTING:
+        flavor = ledger.flavors.get(machine.build)
+        boot_s = flavor.boot_s if flavor else LEAST_CHARGE_S
+        return "never came up" if now - machine.hired_at > BOOT_PATIENCE * boot_s + 10.0 else ""
+    if machine.busy() or not ledger.ready:
+        return ""
+    if machine.warn_at is not None:
+        return "taken soon"
+    if machine.name in needed or (machine.held_for and now < machine.held_until):
+        return ""
+    return "idle" if now - machine.idle_since > idle_s else ""
+
+
+def _provide(
+    ledger: Ledger, job: Job, slots: list[Slot], new: list[Slot], left: list[float], span: float,
+    refusals: Refusals, now: float,
+) -> None:
+    count = job.waiting()
+    for n in range(2):
+        if job.need[n] > 0:
+            count = min(count, max(0, math.floor((left[n] + 1e-6) / job.need[n])))
+    if job.gang:
+        if count < job.spec.pieces:
+            return
+    else:
+        # Short tasks share a place one after the other.
+        count = min(count, math.ceil(count * max(job.spec.guess_s, 1.0) / span))
+    for n in range(2):
+        left[n] -= count * job.need[n]
+    kinds = kinds_for(ledger, job, refusals, now)
+    if job.gang and job.spec.same_place:
+        zone = _best_zone(job, slots + new, kinds, count)
+        if zone is None:
+            return
+        kinds = [kind for kind in kinds if kind[1] == zone]
+        pool = [s for s in slots + new if suits(job, s.kind) and s.kind[1] == zone]
+    else:
+        pool = [s for s in slots + new if suits(job, s.kind)]
+    for _ in range(count):
+        slot = next((s for s in pool if s.fits(job.need)), None)
+        if slot is None:
+            if not kinds:
+                return
+            slot = Slot(kinds[0], list(ledger.capacity(kinds[0][0])))
+            new.append(slot)
+            pool.append(slot)
+        slot.take(job.need)
+
+
+def _best_zone(job: Job, slots: list[Slot], kinds: list[Kind], count: int) -> int | None:
+    """The zone in which a gang that must stay together lacks the fewest machines."""
+    have: dict[int, int] = defaultdict(int)
+    for slot in slots:
+        if suits(job, slot.kind) and slot.fits(job.need):
+            have[slot.kind[1]] += 1
+    zones = set(have) | {kind[1] for kind in kinds}
+    can_hire = {kind[1] for kind in kinds}
+    usable = [z for z in zones if have[z] >= count or z in can_hire]
+    return max(usable, key=lambda z: (have[z], -z), default=None)
--- /dev/null
+++ b/src/salthead/coordination/ledger.py
@@ -0,0 +1,642 @@
+"""The leader's ledger: machines, jobs, and which task is bound to which machine.
+
+Pure: the caller passes the time and a report, and gets orders back. A task is *bound* from the
+decision to place it until it is certain that it is not on its machine: a report without it that
+is newer than the answer that ordered it, a newer session, the end of the worker's lease, or the
+cloud's word that the machine is gone. While it is bound it holds its booking on the machine, its
+team's quota and its zone.
+"""
+
+from __future__ import annotations
+
+import logging
+import math
+from collections import deque
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass, field
+from typing import Any
+
+from salthead.coordination.lease import surely_over
+from salthead.protocol import names
+from salthead.protocol.interning import Interner
+from salthead.protocol.messages import (
+    Flavor,
+    Malformed,
+    Piece,
+    Report,
+    Submission,
+    reap_order,
+    split_piece,
+    start_order,
+    stop_order,
+)
+from salthead.settings import Limits
+
+log = logging.getLogger("salthead.ledger")
+
+Vec = tuple[float, float, float]
+NOTHING: Vec = (0.0, 0.0, 0.0)
+EPS = 1e-6
+# An attempt is the term's token and a counter, so no two starts of any terms share one.
+ATTEMPT_BITS = 24
+# Keeps an answer to a worker well under 64 KiB; the rest follows in the next answer.
+MAX_ORDERS = 400
+# Errors of different jobs in a row, with nothing completed between, that condemn a machine.
+SICK_ERRORS = 2
+# A job that fails on this many machines and completes nowhere is taken to be at fault itself.
+JOB_AT_FAULT = 3
+ERROR_PAUSE_S = 5.0
+
+UP, BOOTING, LOST, GONE = "up", "booting", "lost", "gone"
+
+
+@dataclass(slots=True, eq=False)
+class Binding:
+    """One task on one machine, or on its way there."""
+
+    job: Job | None
+    index: int
+    attempt: int
+    machine: Machine
+    need: Vec
+    crew: int
+    phase: str = ""  # empty until a report shows it
+    since: float = 0.0
+    started: float = 0.0
+    stop: float | None = None  # the leeway of the stop that is wanted
+    stop_sent: bool = False
+    ghost: bool = False  # on a machine, but not ours to keep: its stop is wanted
+
+    @property
+    def piece(self) -> str:
+        return f"{self.job.uid if self.job else '?'}/{self.index}"
+
+
+@dataclass(slots=True, eq=False)
+class Machine:
+    name: str
+    build: int
+    zone: int
+    borrowed: bool
+    cap: Vec
+    phase: str = BOOTING
+    used: list[float] = field(default_factory=lambda: [0.0, 0.0, 0.0])
+    rostered: bool = False
+    joined: bool = False  # reported under this term's token
+    tenure: int = 0
+    tally: int = -1
+    min_tenure: int = 0
+    heard: float = -math.inf
+    answered: float = -math.inf
+    warn_at: float | None = None
+    bindings: dict[tuple[str, int], Binding] = field(default_factory=dict)
+    ghosts: dict[tuple[str, int, int], Binding] = field(default_factory=dict)
+    exits: set[tuple[str, int, int]] = field(default_factory=set)
+    hired_at: float = 0.0
+    up_at: float = 0.0
+    idle_since: float = 0.0
+    condemned: str = ""  # why it takes no more tasks and is to be returned
+    error_jobs: set[str] = field(default_factory=set)
+    error_until: float = 0.0
+    held_for: str = ""  # the job for which room is being made here
+    held_until: float = 0.0
+    returning: bool = False
+
+    def room(self) -> Vec:
+        return (self.cap[0] - self.used[0], self.cap[1] - self.used[1], self.cap[2] - self.used[2])
+
+    def fits(self, need: Vec) -> bool:
+        cap, used = self.cap, self.used
+        return (
+            used[0] + need[0] <= cap[0] + EPS
+            and used[1] + need[1] <= cap[1] + EPS
+            and used[2] + need[2] <= cap[2] + EPS
+        )
+
+    def fullest(self) -> float:
+        """The largest booked share of CPUs, GPUs or memory."""
+        return max((u / c if c > 0 else 0.0) for u, c in zip(self.used, self.cap, strict=True))
+
+    def busy(self) -> bool:
+        return bool(self.bindings or self.ghosts)
+
+
+@dataclass(slots=True, eq=False)
+class Job:
+    spec: Submission
+    crew: int
+    rank: int  # 0 is the highest urgency
+    need: Vec
+    builds: frozenset[int] | None
+    zone: int | None
+    seen_at: float
+    done: bytearray = field(default_factory=bytearray)
+    n_done: int = 0
+    saved: set[int] = field(default_factory=set)  # done and known to the state service
+    dirty: set[int] = field(default_factory=set)  # done and not yet saved
+    next_fresh: int = 0
+    again: deque[int] = field(default_factory=deque)
+    bindings: dict[int, Binding] = field(default_factory=dict)
+    attempt: int = 0  # of a gang, while it is bound
+    failed: bool = False  # a gang whose attempt is over, until all its tasks are gone
+    over: str = ""  # done or aborted, once that is durable
+    wait_until: float = 0.0
+    pause: float = 0.0
+    error_machines: set[str] = field(default_factory=set)
+    first_start: float | None = None
+
+    @property
+    def uid(self) -> str:
+        return self.spec.uid
+
+    @property
+    def gang(self) -> bool:
+        return self.spec.shape == names.GANG
+
+    @property
+    def complete(self) -> bool:
+        return self.n_done >= self.spec.pieces
+
+    def size(self) -> Vec:
+        """What all unfinished tasks take together."""
+        left = self.spec.pieces - (0 if self.gang else self.n_done)
+        return (self.need[0] * left, self.need[1] * left, self.need[2] * left)
+
+    def waiting(self) -> int:
+        """How many tasks have no machine."""
+        if self.over or self.complete:
+            return 0
+        if self.gang:
+            return 0 if self.bindings else self.spec.pieces
+        return self.spec.pieces - self.n_done - len(self.bindings)
+
+    def take(self) -> int | None:
+        """The next task without a machine, if any."""
+        while self.again:
+            index = self.again.popleft()
+            if not self.done[index] and index not in self.bindings:
+                return index
+        while self.next_fresh < self.spec.pieces:
+            index = self.next_fresh
+            self.next_fresh += 1
+            if not self.done[index] and index not in self.bindings:
+                return index
+        return None
+
+    def give_back(self, index: int) -> None:
+        if not self.gang and index < self.next_fresh and not self.done[index]:
+            self.again.append(index)
+
+
+class Ledger:
+    def __init__(
+        self, limits: Limits, token: int, now: float,
+    ) -> None:
+        self.limits = limits
+        self.token = token
+        self.took_over = now
+        self.counter = 0
+        self.crews = Interner([team.name for team in limits.teams])
+        self.zones = Interner(list(limits.zones))
+        self.builds = Interner()
+        self.flavors: dict[int, Flavor] = {}
+        self.caps = [(team.cpus_max, team.gpus_max) for team in limits.teams]
+        self.guarantees = [(team.cpus, team.gpus) for team in limits.teams]
+        self.usage = [[0.0, 0.0] for _ in limits.teams]
+        self.jobs: dict[str, Job] = {}
+        self.machines: dict[str, Machine] = {}
+        self.loaded = False
+        self.ready = False
+        # tasks on machines whose job we do not know: their team is unknown until it is read
+        self.strangers: set[str] = set()
+        self.crew_of: dict[str, tuple[int, Vec]] = {}
+        self.ghost_jobs: dict[str, int] = {}  # stray tasks by job: such a job starts nothing
+        self.deposed_by = 0
+        self.on_change: Callable[[], None] = lambda: None
+        self.recently_gone: dict[str, float] = {}
+
+    # -- flavors and jobs ---------------------------------------------------------------
+
+    def set_flavors(self, flavors: Iterable[Flavor]) -> None:
+        for flavor in flavors:
+            index = self.builds.intern(flavor.name)
+            self.flavors[index] = flavor
+            for zone in flavor.paddocks:
+                self.zones.intern(zone)
+            cap = (flavor.vcpus, flavor.accelerators, flavor.ram_gb)
+            for machine in self.machines.values():
+                if machine.build == index:
+                    machine.cap = cap
+
+    def capacity(self, build: int) -> Vec:
+        flavor = self.flavors.get(build)
+        return (flavor.vcpus, flavor.accelerators, flavor.ram_gb) if flavor else NOTHING
+
+    def add_job(self, spec: Submission, now: float) -> Job | None:
+        """Take an accepted job in; None when its team is unknown to these settings."""
+        found = self.jobs.get(spec.uid)
+        if found is not None:
+            return found
+        crew = self.crews.get(spec.crew)
+        if crew is None:
+            log.warning("job %s: unknown team %s", spec.uid, spec.crew)
+            return None
+        builds = None
+        if spec.builds is not None:
+            builds = frozenset(self.builds.intern(name) for name in spec.builds)
+        job = Job(
+            spec=spec,
+            crew=crew,
+            rank=names.URGENCIES.index(spec.urgency),
+            need=(spec.vcpus, spec.accelerators, spec.ram_gb),
+            builds=builds,
+            zone=None if spec.paddock is None else self.zones.intern(spec.paddock),
+            seen_at=now,
+            done=bytearray(spec.pieces),
+        )
+        self.jobs[spec.uid] = job
+        self.on_change()
+        return job
+
+    def load_done(self, job: Job, indices: Iterable[int]) -> None:
+        """Tasks that an earlier term saved as done."""
+        for index in indices:
+            if 0 <= index < job.spec.pieces and not job.done[index]:
+                job.done[index] = 1
+                job.n_done += 1
+                job.saved.add(index)
+
+    def mark_done(self, job: Job, index: int) -> None:
+        # A gang's tasks complete together: one that is done speaks for all.
+        which = range(job.spec.pieces) if job.gang else (index,)
+        for one in which:
+            if not job.done[one]:
+                job.done[one] = 1
+                job.n_done += 1
+                job.dirty.add(one)
+        self.on_change()
+
+    def saved(self, job: Job, indices: Iterable[int]) -> None:
+        for index in indices:
+            job.saved.add(index)
+            job.dirty.discard(index)
+
+    def end_job(self, job: Job, phase: str) -> None:
+        """The outcome is durable: stop what is left and forget the job once it is gone."""
+        job.over = phase
+        job.dirty.clear()
+        for binding in list(job.bindings.values()):
+            if phase == names.ABORTED:
+                self.want_stop(binding, 0.0)
+        self._forget(job)
+        self.on_change()
+
+    def _forget(self, job: Job) -> None:
+        if job.over and not job.bindings and self.jobs.get(job.uid) is job:
+            self.crew_of[job.uid] = (job.crew, job.need)
+            if len(self.crew_of) > 5000:
+                self.crew_of.pop(next(iter(self.crew_of)))
+            del self.jobs[job.uid]
+
+    # -- bookings -----------------------------------------------------------------------
+
+    def _book(self, machine: Machine, need: Vec, crew: int, sign: float) -> None:
+        used = machine.used
+        for n in range(3):
+            used[n] += sign * need[n]
+        if not machine.busy():
+            machine.used = [0.0, 0.0, 0.0]
+        if crew >= 0:
+            usage = self.usage[crew]
+            usage[0] = max(0.0, usage[0] + sign * need[0])
+            usage[1] = max(0.0, usage[1] + sign * need[1])
+
+    def bind(self, job: Job, index: int, machine: Machine, attempt: int, now: float) -> Binding:
+        binding = Binding(job, index, attempt, machine, job.need, job.crew, since=now)
+        machine.bindings[(job.uid, index)] = binding
+        job.bindings[index] = binding
+        self._book(machine, job.need, job.crew, 1.0)
+        return binding
+
+    def release(self, binding: Binding, now: float, why: str) -> None:
+        """The task is certainly not on the machine any more."""
+        job, machine = binding.job, binding.machine
+        assert job is not None
+        machine.bindings.pop((job.uid, binding.index), None)
+        job.bindings.pop(binding.index, None)
+        self._book(machine, binding.need, binding.crew, -1.0)
+        if not machine.busy():
+            machine.idle_since = now
+        if job.gang:
+            if not job.complete and not job.failed:
+                self.fail_gang(job, now, why)
+            if not job.bindings:
+                job.failed = False
+        else:
+            job.give_back(binding.index)
+        self._forget(job)
+        self.on_change()
+
+    def fail_gang(self, job: Job, now: float, why: str) -> None:
+        """A gang's attempt is over: the tasks left of it go before it is drawn anew."""
+        job.failed = True
+        log.info("gang %s attempt %d over: %s", job.uid, job.attempt, why)
+        for other in list(job.bindings.values()):
+            if other.stop is None:
+                self.want_stop(other, 0.0)
+
+    def stop_gang(self, job: Job, leeway_s: float, why: str) -> None:
+        """Stop a whole gang in order: every member is told, and what it saved is kept."""
+        log.info("gang %s stopped: %s", job.uid, why)
+        job.failed = True
+        for binding in job.bindings.values():
+            self.want_stop(binding, leeway_s)
+
+    def want_stop(self, binding: Binding, leeway_s: float) -> None:
+        if binding.stop is None or leeway_s < binding.stop:
+            binding.stop = leeway_s
+            binding.stop_sent = False
+
+    def next_attempt(self) -> int:
+        self.counter += 1
+        return (self.token << ATTEMPT_BITS) | self.counter
+
+    # -- machines -----------------------------------------------------------------------
+
+    def add_machine(
+        self, name: str, build: str, zone: str, borrowed: bool, now: float, rostered: bool = False,
+    ) -> Machine:
+        machine = self.machines.get(name)
+        if machine is None:
+            index = self.builds.intern(build)
+            machine = Machine(
+                name, index, self.zones.intern(zone), borrowed, self.capacity(index),
+                hired_at=now, idle_since=now,
+            )
+            self.machines[name] = machine
+        machine.rostered = machine.rostered or rostered
+        return machine
+
+    def _lose_tasks(self, machine: Machine, now: float, why: str) -> None:
+        for binding in list(machine.bindings.values()):
+            self.release(binding, now, why)
+        for key in list(machine.ghosts):
+            self._drop_ghost(machine, key, now)
+        machine.exits.clear()
+
+    def machine_gone(self, machine: Machine, now: float) -> None:
+        """The cloud confirmed the return: the machine and all on it are gone."""
+        machine.phase = GONE
+        self._lose_tasks(machine, now, f"{machine.name} returned")
+        self.machines.pop(machine.name, None)
+        self.recently_gone[machine.name] = now
+        if len(self.recently_gone) > 2000:
+            self.recently_gone.pop(next(iter(self.recently_gone)))
+        self.on_change()
+
+    def tick(self, now: float) -> None:
+        """What time alone decides: leases that are surely over, and the end of a takeover."""
+        lease_s = self.limits.workers.lease_s
+        for machine in self.machines.values():
+            if machine.phase == UP and now > surely_over(
+                max(machine.answered, self.took_over), lease_s
+            ):
+                # Whatever it still reports of this session is late news: a worker that
+                # goes on does so with the next session and no tasks.
+                log.info("machine %s lost: unheard for %.1f s", machine.name, now - machine.heard)
+                machine.phase = LOST
+                machine.min_tenure = machine.tenure + 1
+                machine.joined = False
+                self._lose_tasks(machine, now, f"{machine.name} lost")
+        if self.loaded and not self.ready:
+            over = now > surely_over(self.took_over, lease_s)
+            if over or all(m.joined for m in self.machines.values() if m.rostered):
+                self.ready = True
+                log.info("takeover complete after %.2f s, %d machines, %d jobs",
+                         now - self.took_over, len(self.machines), len(self.jobs))
+                self.on_change()
+
+    # -- reports ------------------------------------------------------------------------
+
+    def on_report(self, report: Report, now: float) -> list[dict[str, Any]] | None:
+        """Orders for the worker, or None when the report must not be answered with 200."""
+        if report.baton > self.token:
+            self.deposed_by = max(self.deposed_by, report.baton)
+            return None
+        if report.saltlick in self.recently_gone:
+            return None
+        machine = self.machines.get(report.saltlick)
+        if machine is None:
+            machine = self.add_machine(
+                report.saltlick, report.build, report.paddock, report.borrowed, now)
+            log.info("machine %s reports unexpectedly", machine.name)
+        if report.tenure < machine.min_tenure:
+            return None
+        machine.answered = now
+        newer = (report.tenure, report.tally) > (machine.tenure, machine.tally)
+        if not newer:
+            return []
+        if not self.loaded:
+            # Jobs are not known yet: keep the worker alive, look at its tasks next time.
+            machine.heard = now
+            return []
+        if report.tenure > machine.tenure and machine.tenure > 0:
+            log.info("machine %s: session %d", machine.name, report.tenure)
+            self._lose_tasks(machine, now, f"{machine.name} lost its lease")
+        if machine.phase in (BOOTING, LOST):
+            log.info("machine %s up after %.1f s", machine.name, now - machine.hired_at)
+            machine.phase = UP
+            machine.up_at = machine.idle_since = now
+            self.on_change()
+        machine.tenure, machine.tally = report.tenure, report.tally
+        machine.heard = now
+        if report.baton == self.token and not machine.joined:
+            machine.joined = True
+            self.on_change()
+        warned = None if report.warning_s is None else now + report.warning_s
+        if warned is not None and machine.warn_at is None:
+            log.info("machine %s will be taken in %.1f s", machine.name, report.warning_s)
+        machine.warn_at = warned
+        return self._pieces(machine, report, now)
+
+    def _pieces(self, machine: Machine, report: Report, now: float) -> list[dict[str, Any]]:
+        orders: list[dict[str, Any]] = []
+        seen: set[tuple[str, int]] = set()
+        seen_ghosts: set[tuple[str, int, int]] = set()
+        live_exits: set[tuple[str, int, int]] = set()
+        for piece in report.pieces:
+            try:
+                uid, index = split_piece(piece.piece)
+            except Malformed:
+                continue
+            key = (uid, index)
+            binding = machine.bindings.get(key)
+            if binding is not None and binding.attempt != piece.attempt:
+                binding = None
+            if piece.phase == names.EXITED:
+                if binding is not None:
+                    self._exited(binding, piece, now)
+                else:
+                    self._late_exit(uid, index, piece, now)
+                if self._may_reap(uid, index, piece):
+                    orders.append(reap_order(piece.piece, piece.attempt))
+                live_exits.add((uid, index, piece.attempt))
+                continue
+            if binding is None:
+                binding = self._adopt(machine, uid, index, piece, now)
+            if binding is None:
+                ghost_key = (uid, index, piece.attempt)
+                seen_ghosts.add(ghost_key)
+                self._ghost(machine, ghost_key, now)
+                orders.append(stop_order(piece.piece, piece.attempt, 0.0))
+                continue
+            seen.add(key)
+            if binding.phase != piece.phase:
+                if piece.phase == names.RUNNING and binding.job is not None:
+                    binding.started = now
+                    if binding.job.first_start is None:
+                        binding.job.first_start = now
+                binding.phase = piece.phase
+            if binding.stop is not None and (
+                piece.phase != names.FLUSHING or binding.stop == 0.0
+            ):
+                orders.append(stop_order(piece.piece, piece.attempt, binding.stop))
+                binding.stop_sent = True
+        for key, binding in list(machine.bindings.items()):
+            if key in seen or machine.bindings.get(key) is not binding:
+                continue
+            if binding.phase:
+                self.release(binding, now, f"not on {machine.name} any more")
+            elif binding.stop is not None:
+                # One report is in flight at a time and late answers are dropped, so a report
+                # without the task, newer than the answer that ordered it, is proof.
+                self.release(binding, now, "stopped before it started")
+            elif self.ready and machine.rostered and machine.joined and binding.job is not None:
+                orders.append(start_order(binding.piece, binding.attempt))
+        for ghost_key in list(machine.ghosts):
+            if ghost_key not in seen_ghosts:
+                self._drop_ghost(machine, ghost_key, now)
+        machine.exits = live_exits
+        return orders[:MAX_ORDERS]
+
+    def _adopt(
+        self, machine: Machine, uid: str, index: int, piece: Piece, now: float
+    ) -> Binding | None:
+        """A task found on a machine that no binding explains: an earlier term started it."""
+        job = self.jobs.get(uid)
+        if job is None or job.over or not 0 <= index < job.spec.pieces:
+            return None
+        if job.done[index] or index in job.bindings:
+            return None
+        if job.gang:
+            if job.failed or (job.bindings and job.attempt != piece.attempt):
+                return None
+            job.attempt = piece.attempt
+        binding = self.bind(job, index, machine, piece.attempt, now)
+        log.info("adopted %s attempt %d on %s", piece.piece, piece.attempt, machine.name)
+        return binding
+
+    def _ghost(self, machine: Machine, key: tuple[str, int, int], now: float) -> None:
+        if key in machine.ghosts:
+            return
+        uid, index, attempt = key
+        job = self.jobs.get(uid)
+        if job is not None:
+            crew, need = job.crew, job.need
+        elif uid in self.crew_of:
+            crew, need = self.crew_of[uid]
+        else:
+            crew, need = -1, NOTHING
+            self.strangers.add(uid)
+        log.info("stray task %s/%d attempt %d on %s", uid, index, attempt, machine.name)
+        self.ghost_jobs[uid] = self.ghost_jobs.get(uid, 0) + 1
+        machine.ghosts[key] = Binding(job, index, attempt, machine, need, crew, ghost=True)
+        self._book(machine, need, crew, 1.0)
+
+    def _drop_ghost(self, machine: Machine, key: tuple[str, int, int], now: float) -> None:
+        ghost = machine.ghosts.pop(key)
+        self._book(machine, ghost.need, ghost.crew, -1.0)
+        left = self.ghost_jobs.pop(key[0], 1) - 1
+        if left > 0:
+            self.ghost_jobs[key[0]] = left
+        else:
+            self.strangers.discard(key[0])
+        if not machine.busy():
+            machine.idle_since = now
+        self.on_change()
+
+    def know_stranger(self, spec: Submission) -> None:
+        """The record of an ended job whose tasks are still on machines: count them in."""
+        crew = self.crews.get(spec.crew)
+        need: Vec = (spec.vcpus, spec.accelerators, spec.ram_gb)
+        self.crew_of[spec.uid] = (-1 if crew is None else crew, need)
+        self.strangers.discard(spec.uid)
+        for machine in self.machines.values():
+            for key, ghost in machine.ghosts.items():
+                if key[0] == spec.uid and ghost.crew < 0:
+                    ghost.need, ghost.crew = need, -1 if crew is None else crew
+                    self._book(machine, need, ghost.crew, 1.0)
+
+    def _exited(self, binding: Binding, piece: Piece, now: float) -> None:
+        job, machine = binding.job, binding.machine
+        assert job is not None
+        cause = piece.cause
+        if cause == names.DONE:
+            machine.error_jobs.clear()
+            machine.error_until = 0.0
+            self.mark_done(job, binding.index)
+        elif cause == names.ERROR:
+            self._errored(job, machine, now)
+        elif cause in (names.FULL, names.IN_USE, names.UNKNOWN):
+            log.info("start of %s refused by %s: %s", piece.piece, machine.name, cause)
+            job.wait_until = max(job.wait_until, now + self.limits.workers.report_s)
+        if job.gang and cause == names.HALTED and piece.saved:
+            # Saved: the others have saved too or are about to exit, nothing is lost by waiting.
+            job.failed = True
+        self.release(binding, now, f"{piece.piece} exited: {cause}")
+
+    def _errored(self, job: Job, machine: Machine, now: float) -> None:
+        """Tell a sick machine from a job that fails everywhere."""
+        job.error_machines.add(machine.name)
+        machine.error_jobs.add(job.uid)
+        machine.error_until = now + ERROR_PAUSE_S * len(machine.error_jobs)
+        job.wait_until = max(job.wait_until, now + min(30.0, 1.0 * len(job.error_machines)))
+        blamed = [
+            uid for uid in machine.error_jobs
+            if (other := self.jobs.get(uid)) is None
+            or other.n_done > 0 or len(other.error_machines) < JOB_AT_FAULT
+        ]
+        log.info("task of %s failed on %s (%d jobs failed there)",
+                 job.uid, machine.name, len(machine.error_jobs))
+        if len(blamed) >= SICK_ERRORS and not machine.condemned:
+            machine.condemned = "fails its tasks"
+
+    def _late_exit(self, uid: str, index: int, piece: Piece, now: float) -> None:
+        """An exit that no binding explains: done is done, whoever started it."""
+        job = self.jobs.get(uid)
+        if job is None or job.over or not 0 <= index < job.spec.pieces:
+            return
+        if piece.cause == names.DONE and not job.done[index]:
+            self.mark_done(job, index)
+            other = job.bindings.get(index)
+            if other is not None:
+                self.want_stop(other, 0.0)
+
+    def _may_reap(self, uid: str, index: int, piece: Piece) -> bool:
+        """Done tasks are reaped once that is durable, all others at once."""
+        if piece.cause != names.DONE:
+            return True
+        job = self.jobs.get(uid)
+        return job is None or bool(job.over) or index in job.saved
+
+    # -- views --------------------------------------------------------------------------
+
+    def phase_of(self, job: Job) -> tuple[str, int, int]:
+        """Phase, tasks done and tasks running, as users are told."""
+        running = sum(
+            1 for b in job.bindings.values()
+            if b.phase in (names.RUNNING, names.GATHERING, names.FLUSHING)
+        )
+        # Before the outcome is durable nobody is told of it.
+        phase = job.over or (names.RUNNING if running or job.n_done else names.QUEUED)
+        return phase, job.n_done, running
--- /dev/null
+++ b/src/salthead/coordination/preemption.py
@@ -0,0 +1,184 @@
+"""Stopping tasks: for jobs of higher urgency, for guarantees, and before a machine goes."""
+
+from __future__ import annotations
+
+import logging
+
+from salthead.coordination import placement
+from salthead.coordination.ledger import UP, Binding, Job, Ledger, Machine, Vec
+
+log = logging.getLogger("salthead.preemption")
+
+
+def leeway(job: Job) -> float:
+    """The grace with which a task of the job saves; 0 when it can't."""
+    return job.spec.stow_s if job.spec.cairn_s > 0 else 0.0
+
+
+def stop(ledger: Ledger, binding: Binding, why: str) -> None:
+    """Stop a task in order, with its whole gang if it has one."""
+    job = binding.job
+    if job is None or binding.stop is not None:
+        return
+    if job.gang:
+        ledger.stop_gang(job, leeway(job), why)
+    else:
+        log.info("stop %s on %s: %s", binding.piece, binding.machine.name, why)
+        ledger.want_stop(binding, leeway(job))
+
+
+def lost_work(binding: Binding, now: float) -> float:
+    """CPU-seconds that stopping the task throws away, roughly."""
+    job = binding.job
+    assert job is not None
+    members = list(job.bindings.values()) if job.gang else [binding]
+    lost = 0.0
+    for member in members:
+        run = max(0.0, now - member.started) if member.started else 0.0
+        if job.spec.cairn_s > 0 and not (member.phase and run <= 0):
+            run = min(run, job.spec.stow_s)
+        lost += (run + 1.0) * max(member.need[0], 0.1)
+    return lost
+
+
+def may_stop(
+    ledger: Ledger, job: Job, victim: Binding, within: set[str],
+) -> bool:
+    """The protocol's three sentences on preemption."""
+    other = victim.job
+    if other is None or other is job or other.complete:
+        return False
+    if other.rank > job.rank:
+        return True
+    if job.uid not in within or other.crew == job.crew or other.uid in within:
+        return False
+    usage, most = ledger.usage[other.crew], ledger.guarantees[other.crew]
+    return usage[0] > most[0] or usage[1] > most[1]
+
+
+def make_room(ledger: Ledger, job: Job, within: set[str], now: float) -> int:
+    """Choose victims for the job's waiting tasks; machines are kept for it meanwhile."""
+    wanted = min(job.waiting(), placement.quota_left(ledger, job))
+    if job.gang and wanted < job.spec.pieces:
+        return 0
+    base = [
+        m for m in placement.base_candidates(ledger, job, now)
+        if all(c + 1e-6 >= n for c, n in zip(m.cap, job.need, strict=True))
+    ]
+    zones: list[int | None] = [None]
+    if job.gang and job.spec.same_place:
+        zones = list({m.zone for m in base})
+    best: tuple[float, list[tuple[Machine, list[Binding]]]] | None = None
+    for zone in zones:
+        found = _room_in(ledger, job, [m for m in base if zone in (None, m.zone)],
+                         wanted, within, now)
+        if found is not None and (best is None or found[0] < best[0]):
+            best = found
+    if best is None:
+        return 0
+    report_s = ledger.limits.workers.report_s
+    for machine, victims in best[1]:
+        machine.held_for = job.uid
+        # Until the stop is told, the task has saved, its exit is told, and the draw.
+        longest = max((leeway(v.job) for v in victims if v.job), default=0.0)
+        machine.held_until = max(machine.held_until, now + longest + 4.0 * report_s)
+        for victim in victims:
+            stop(ledger, victim, f"room for {job.uid}")
+    return len(best[1])
+
+
+def _room_in(
+    ledger: Ledger, job: Job, base: list[Machine], wanted: int, within: set[str], now: float,
+) -> tuple[float, list[tuple[Machine, list[Binding]]]] | None:
+    room: dict[str, list[float]] = {}
+    options: dict[str, list[tuple[float, Binding]]] = {}
+    for machine in base:
+        left = list(machine.room())
+        stoppable = []
+        for binding in machine.bindings.values():
+            if binding.stop is not None:  # it goes anyway
+                for n in range(3):
+                    left[n] += binding.need[n]
+            elif may_stop(ledger, job, binding, within):
+                stoppable.append((lost_work(binding, now), binding))
+        stoppable.sort(key=lambda pair: pair[0], reverse=True)
+        room[machine.name] = left
+        options[machine.name] = stoppable
+    counts = placement.zone_counts(job)
+    plan: dict[str, tuple[Machine, list[Binding]]] = {}
+    total = 0.0
+    placed = 0
+    for _ in range(wanted):
+        cheapest: tuple[float, Machine, list[Binding]] | None = None
+        for machine in base:
+            if not placement.zone_open(job, machine.zone, counts):
+                continue
+            picked = _victims(room[machine.name], options[machine.name], job.need)
+            if picked is None:
+                continue
+            cost = sum(cost for cost, _ in picked)
+            if cheapest is None or cost < cheapest[0]:
+                cheapest = (cost, machine, [binding for _, binding in picked])
+        if cheapest is None:
+            break
+        cost, machine, victims = cheapest
+        counts[machine.zone] = counts.get(machine.zone, 0) + 1
+        left = room[machine.name]
+        for victim in victims:
+            for n in range(3):
+                left[n] += victim.need[n]
+        for n in range(3):
+            left[n] -= job.need[n]
+        options[machine.name] = [o for o in options[machine.name] if o[1] not in victims]
+        kept = plan.setdefault(machine.name, (machine, []))
+        kept[1].extend(victims)
+        total += cost
+        placed += 1
+    if placed == 0 or (job.gang and placed < wanted):
+        return None
+    return total, list(plan.values())
+
+
+def _victims(
+    room: list[float], options: list[tuple[float, Binding]], need: Vec,
+) -> list[tuple[float, Binding]] | None:
+    """The cheapest tasks, taken from the end of the list, whose going makes room."""
+    left = list(room)
+    picked: list[tuple[float, Binding]] = []
+    remaining = list(options)
+    while any(left[n] + 1e-6 < need[n] for n in range(3)):
+        if not remaining:
+            return None
+        cost, binding = remaining.pop()
+        picked.append((cost, binding))
+        for n in range(3):
+            left[n] += binding.need[n]
+    return picked
+
+
+def preempt(ledger: Ledger, starved: list[Job], now: float) -> None:
+    """For each job that found no candidate, in order, what the rules let it push aside."""
+    if not starved:
+        return
+    within = placement.entitled(ledger)
+    for job in starved:
+        if any(m.held_for == job.uid and now < m.held_until for m in ledger.machines.values()):
+            continue  # room is being made already
+        make_room(ledger, job, within, now)
+
+
+def drain(ledger: Ledger, now: float) -> None:
+    """Stop tasks on machines that are about to be taken, as late as is safe."""
+    workers = ledger.limits.workers
+    # The order rides on the answer to the next report.
+    told = 1.25 * workers.report_s + 0.5
+    for machine in ledger.machines.values():
+        if machine.phase != UP or machine.warn_at is None:
+            continue
+        left = machine.warn_at - now
+        for binding in list(machine.bindings.values()):
+            job = binding.job
+            if job is None or binding.stop is not None:
+                continue
+            if left <= told * (2.0 if job.gang else 1.0) + leeway(job) + 0.5:
+                stop(ledger, binding, f"{machine.name} is taken in {left:.1f} s")
--- /dev/null
+++ b/src/salthead/protocol/interning.py
@@ -0,0 +1,27 @@
+"""Names become dense indices at the door; inside, only indices are compared."""
+
+from __future__ import annotations
+
+
+class Interner:
+    def __init__(self, known: list[str] | None = None) -> None:
+        self.names: list[str] = []
+        self.index: dict[str, int] = {}
+        for name in known or []:
+            self.intern(name)
+
+    def intern(self, name: str) -> int:
+        found = self.index.get(name)
+        if found is None:
+            found = self.index[name] = len(self.names)
+            self.names.append(name)
+        return found
+
+    def get(self, name: str) -> int | None:
+        return self.index.get(name)
+
+    def __getitem__(self, index: int) -> str:
+        return self.names[index]
+
+    def __len__(self) -> int:
+        return len(self.names)
--- /dev/null
+++ b/src/salthead/service.py
@@ -0,0 +1,312 @@
+"""One controller: its loops, and what it answers."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import random
+import time
+import uuid
+from collections import OrderedDict
+from typing import Any
+
+from salthead import metrics
+from salthead.bookkeeping import records
+from salthead.bookkeeping.store import Conflict, NoLease, Refused, Store, put
+from salthead.coordination import lease
+from salthead.protocol import names
+from salthead.protocol.messages import (
+    Flavor,
+    Flavors,
+    Malformed,
+    Report,
+    Submission,
+    shape,
+    status_body,
+)
+from salthead.settings import Settings
+from salthead.term import Term
+from salthead.transport.client import Caller, Unanswered
+
+log = logging.getLogger("salthead.service")
+
+TROUBLES = (Refused, Unanswered, Malformed, NoLease, Conflict, KeyError, TypeError, ValueError)
+FINALS_KEPT = 20_000
+
+
+class Later(Exception):
+    """Can't be decided now; the client is told when to come back."""
+
+
+class Rejected(Exception):
+    """422: the job can never run."""
+
+
+class Node:
+    def __init__(self, settings: Settings, rng: random.Random | None = None) -> None:
+        self.settings = settings
+        self.limits = settings.settings
+        self.rng = rng or random.Random()
+        self.now = time.monotonic
+        self.run_id = uuid.uuid4().hex[:12]
+        self.store = Store(
+            settings.endpoints.state, self.limits.state.rps, self.limits.state.write_rps, self.now)
+        self.cloud = Caller(settings.endpoints.cloud, 4)
+        self.peers = {seed.member: Caller(seed.endpoint, 16) for seed in settings.seeds}
+        self.flavors: dict[str, Flavor] = {}
+        self.leader: str | None = None  # the member that leads, as last read
+        self.term: Term | None = None
+        self.finals: OrderedDict[str, tuple[str, int]] = OrderedDict()
+        self.trouble: dict[str, float] = {}
+
+    # -- small helpers ------------------------------------------------------------------
+
+    def note(self, kind: str, error: object) -> None:
+        """Log each kind of trouble once in a while, and count it always."""
+        metrics.TROUBLE.labels(kind).inc()
+        now = self.now()
+        if now - self.trouble.get(kind, -1e9) > 10.0:
+            self.trouble[kind] = now
+            log.warning("%s: %s", kind, error)
+
+    async def rest(self, seconds: float) -> None:
+        """A pause with jitter, so that nodes do not ask in step."""
+        await asyncio.sleep(seconds * self.rng.uniform(0.8, 1.2))
+
+    def final(self, uid: str, phase: str, pieces: int) -> None:
+        self.finals[uid] = (phase, pieces)
+        if len(self.finals) > FINALS_KEPT:
+            self.finals.popitem(last=False)
+
+    def leading(self) -> Term | None:
+        """The term, while this node is entitled to act for the controllers."""
+        term = self.term
+        return term if term is not None and term.valid() else None
+
+    # -- loops --------------------------------------------------------------------------
+
+    async def run(self) -> None:
+        loops = [self.elect_loop(), self.flavor_loop()]
+        tasks = [asyncio.create_task(loop) for loop in loops]
+        done, _ = await asyncio.wait(tasks, return_when=asyncio.FIRST_COMPLETED)
+        for task in done:
+            task.result()
+
+    async def flavor_loop(self) -> None:
+        """Machine types: from the cloud, or as an earlier leader stored them."""
+        while True:
+            try:
+                answer = await self.cloud.call("GET", names.FLAVORS, timeout=3.0)
+                if answer.status != 200:
+                    raise Refused(answer.status, "flavors")
+                self.take_flavors(shape(answer.body, Flavors).builds)
+                await self.rest(60.0)
+                continue
+            except TROUBLES as error:
+                self.note("cloud flavors", error)
+            if not self.flavors:
+                try:
+                    row = await self.store.get(records.FLAVORS)
+                    if row is not None:
+                        self.take_flavors(shape(row[0], Flavors).builds)
+                except TROUBLES as error:
+                    self.note("stored flavors", error)
+            await self.rest(2.0)
+
+    def take_flavors(self, flavors: list[Flavor]) -> None:
+        self.flavors = {flavor.name: flavor for flavor in flavors}
+        if self.term is not None:
+            self.term.ledger.set_flavors(flavors)
+            self.term.wake()
+
+    async def elect_loop(self) -> None:
+        ttl = lease.leader_ttl(self.limits.workers.lease_s)
+        tried = ""
+        tether = 0
+        sent = 0.0
+        while True:
+            try:
+                row = await self.store.get(records.LEAD, urgent=True)
+                holder = row[0] if row else {}
+                stamp = row[1] if row else 0
+                mine = bool(row) and holder.get("member") == self.settings.member
+                if mine and tried and holder.get("nonce") == tried:
+                    self.leader = self.settings.member
+                    await self.lead(holder["token"], stamp, tether, sent, ttl)
+                    tried = ""
+                    self.leader = None
+                    await self.rest(0.2)
+                    continue
+                if row and not (mine and holder.get("run") != self.run_id):
+                    self.leader = holder.get("member")
+                    await self.store.changes(records.LEAD, stamp, 8.0)
+                    continue
+                # No leader, or a process of this very member that has ended: its key can be
+                # replaced at once, since the member is the process that asks.
+                self.leader = None
+                token_row = await self.store.get(records.TOKEN, urgent=True)
+                token = (token_row[0]["n"] if token_row else 0) + 1
+                sent = self.now()
+                tether = await self.store.grant(ttl)
+                tried = uuid.uuid4().hex[:12]
+                value = {"member": self.settings.member, "run": self.run_id, "token": token,
+                         "nonce": tried}
+                await self.store.txn(
+                    {records.LEAD: stamp, records.TOKEN: token_row[1] if token_row else 0},
+                    [put(records.LEAD, value, tether), put(records.TOKEN, {"n": token})],
+                    urgent=True)
+            except Conflict:
+                await self.rest(0.05)
+            except TROUBLES as error:
+                self.note("election", error)
+                await self.rest(0.4)
+
+    async def lead(self, token: int, stamp: int, tether: int, sent: float, ttl: float) -> None:
+        log.info("%s leads with token %d", self.settings.member, token)
+        term = Term(self, token, stamp, tether, lease.LeaseClock(ttl))
+        term.clock.renewed(sent)
+        self.term = term
+        metrics.LEADING.set(1)
+        metrics.TOKEN.set(token)
+        try:
+            await term.run()
+        finally:
+            self.term = None
+            metrics.LEADING.set(0)
+            log.info("%s leads no more (token %d)", self.settings.member, token)
+
+    # -- what workers ask ---------------------------------------------------------------
+
+    def redirect(self) -> tuple[int, dict[str, Any]]:
+        """The answer to a report of a node that may not act on it."""
+        if self.leader is not None and self.leader != self.settings.member:
+            return 421, {"herder": self.leader}
+        return 503, {"error": "no leader"}
+
+    def on_report(self, report: Report) -> tuple[int, dict[str, Any]]:
+        term = self.leading()
+        if term is None:
+            return self.redirect()
+        orders = term.on_report(report)
+        if orders is None:
+            return 503, {"error": "not for this report"}
+        return 200, {"baton": term.token, "orders": orders}
+
+    # -- what users ask -----------------------------------------------------------------
+
+    def check(self, job: Submission) -> None:
+        """422 and 503 by what is known of teams and machine types."""
+        team = next((team for team in self.limits.teams if team.name == job.crew), None)
+        if team is None:
+            raise Rejected(f"unknown team {job.crew[:60]}")
+        many = job.pieces if job.shape == names.GANG else 1
+        if job.vcpus * many > team.cpus_max + 1e-6 or job.accelerators * many > team.gpus_max + 1e-6:
+            raise Rejected("more than the team's limit")
+        if not self.flavors:
+            raise Later("machine types not known yet")
+        if not any(
+            job.vcpus <= f.vcpus and job.accelerators <= f.accelerators and job.ram_gb <= f.ram_gb
+            and (job.builds is None or f.name in job.builds)
+            and (job.paddock is None or job.paddock in f.paddocks)
+            for f in self.flavors.values()
+        ):
+            raise Rejected("a task fits no allowed machine type")
+        if job.builds is not None:  # only names that exist are kept
+            job.builds = sorted({name for name in job.builds if name in self.flavors})
+
+    async def submit(self, job: Submission) -> tuple[int, dict[str, Any]]:
+        known = self.finals.get(job.uid)
+        if known is not None:
+            return 200, status_body(job.uid, known[0], known[1] if known[0] == names.DONE else 0)
+        term = self.leading()
+        if term is not None and job.uid in term.ledger.jobs:
+            return 200, self.told(term, job.uid)
+        try:
+            self.check(job)
+            reject: Rejected | None = None
+        except Rejected as error:
+            reject = error
+        if reject is not None:
+            # A repeat of a job that was accepted must not be refused, whatever changed since.
+            if (found := await self.read(job.uid)) is not None:
+                return 200, found
+            raise reject
+        job.at = time.time()
+        try:
+            await self.store.txn(
+                {records.job_key(job.uid): 0, records.over_key(job.uid): 0},
+                [put(records.job_key(job.uid), records.job_value(job))])
+        except Conflict:
+            found = await self.read(job.uid)
+            if found is None:
+                raise Later("in doubt") from None
+            return 200, found
+        term = self.leading()
+        if term is not None and term.ledger.loaded:
+            term.add_job(job)
+        log.debug("accepted %s: %d tasks", job.uid, job.pieces)
+        return 201, {"uid": job.uid, "phase": names.QUEUED}
+
+    def told(self, term: Term, uid: str) -> dict[str, Any]:
+        return status_body(uid, *term.ledger.phase_of(term.ledger.jobs[uid]))
+
+    async def read(self, uid: str) -> dict[str, Any] | None:
+        """A job's state by a consistent read; None when it was never accepted."""
+        row = await self.store.get(records.job_key(uid))
+        if row is not None:
+            return status_body(uid, names.QUEUED)
+        row = await self.store.get(records.over_key(uid))
+        if row is None:
+            return None
+        phase, spec = records.over_from(row[0])
+        self.final(uid, phase, spec.pieces)
+        return status_body(uid, phase, spec.pieces if phase == names.DONE else 0)
+
+    async def poll_here(self, term: Term, uid: str) -> dict[str, Any] | None:
+        job = term.ledger.jobs.get(uid) if term.ledger.loaded else None
+        if job is not None:
+            return self.told(term, uid)
+        return await self.read(uid)
+
+    async def poll(self, uid: str) -> dict[str, Any] | None:
+        """GET /work/ID; None is 404."""
+        known = self.finals.get(uid)
+        if known is not None:
+            return status_body(uid, known[0], known[1] if known[0] == names.DONE else 0)
+        term = self.leading()
+        if term is not None:
+            return await self.poll_here(term, uid)
+        found = await self.ask_leader(names.PEER_POLL, uid, 0.8)
+        return found if found is not None else await self.read(uid)
+
+    async def cancel(self, uid: str) -> dict[str, Any] | None:
+        known = self.finals.get(uid)
+        if known is not None:
+            return {"uid": uid, "phase": known[0]}
+        term = self.leading()
+        if term is not None:
+            return await term.cancel(uid)
+        found = await self.ask_leader(names.PEER_CANCEL, uid, 3.0)
+        if found is not None:
+            return found
+        # Only the leader may decide it, but what is decided, or unknown, anyone can read.
+        read = await self.read(uid)
+        if read is None or read["phase"] in (names.DONE, names.ABORTED):
+            return read
+        raise Later("no leader")
+
+    async def ask_leader(self, path: str, uid: str, timeout: float) -> dict[str, Any] | None:
+        peer = self.peers.get(self.leader or "")
+        if peer is None:
+            return None
+        try:
+            answer = await peer.call("POST", path, {"uid": uid}, timeout=timeout)
+        except Unanswered as error:
+            self.note("leader", error)
+            return None
+        if answer.status != 200 or answer.body.get("uid") != uid:
+            return None
+        phase = answer.body.get("phase")
+        if phase in (names.DONE, names.ABORTED):
+            self.final(uid, phase, int(answer.body.get("pieces", answer.body.get("done", 0))))
+        return answer.body
--- /dev/null
+++ b/src/salthead/settings.py
@@ -0,0 +1,153 @@
+"""The settings file that the platform hands over."""
+
+from __future__ import annotations
+
+import tomllib
+from pathlib import Path
+
+import msgspec
+
+
+class SettingsError(Exception):
+    """Why the settings file can't be used, in one line."""
+
+
+class Seed(msgspec.Struct):
+    member: str
+    endpoint: str
+    area: str = ""
+
+
+class Endpoints(msgspec.Struct):
+    cloud: str
+    state: str
+
+
+class Team(msgspec.Struct):
+    name: str
+    cpus: float = 0.0
+    cpus_max: float = 0.0
+    gpus: float = 0.0
+    gpus_max: float = 0.0
+
+
+class Objective(msgspec.Struct):
+    kind: str
+    breed: str = msgspec.field(name="class", default="")
+    within_s: float = 0.0
+    within_ms: float = 0.0
+    share: float = 0.0
+    times: float = 1.0
+
+
+class Workers(msgspec.Struct):
+    report_s: float
+    lease_s: float
+    gang_wait_s: float
+    gang_peer_s: float
+    cancel_s: float
+
+
+class State(msgspec.Struct):
+    rps: float
+    write_rps: float
+    value_kb: float
+    txn_ops: int
+
+
+class Cloud(msgspec.Struct):
+    rps: float
+    list_lag_s: float
+
+
+class Quota(msgspec.Struct):
+    cpu_share: float = 1.0
+    ram_mb: float = 0.0
+    max_connections: int = 0
+
+
+class Limits(msgspec.Struct):
+    zones: list[str]
+    workers: Workers
+    state: State
+    cloud: Cloud
+    teams: list[Team] = []
+    objectives: list[Objective] = []
+    quota: Quota = msgspec.field(default_factory=Quota)
+    initial_size: int = 1
+    clock_error_ms: float = 0.0
+
+
+class Settings(msgspec.Struct):
+    member: str
+    area: str
+    client_listen: str
+    cluster_listen: str
+    endpoints: Endpoints
+    settings: Limits
+    seeds: list[Seed] = []
+
+
+POSITIVE = {
+    "settings.workers": ("report_s", "lease_s", "gang_wait_s", "gang_peer_s", "cancel_s"),
+    "settings.state": ("rps", "write_rps", "value_kb", "txn_ops"),
+    "settings.cloud": ("rps",),
+}
+
+
+def split_endpoint(text: str) -> tuple[str, int]:
+    """``host:port`` in its two parts; ValueError when it is not that."""
+    host, _, port = text.rpartition(":")
+    if not host or not port.isdigit() or not 0 <= int(port) < 65536:
+        raise ValueError(f"not HOST:PORT: {text!r}")
+    return host, int(port)
+
+
+def check(found: Settings) -> None:
+    """What types alone do not say; SettingsError names the field."""
+    addresses = {
+        "client_listen": found.client_listen,
+        "cluster_listen": found.cluster_listen,
+        "endpoints.cloud": found.endpoints.cloud,
+        "endpoints.state": found.endpoints.state,
+    }
+    addresses |= {f"seeds[{n}].endpoint": seed.endpoint for n, seed in enumerate(found.seeds)}
+    for field, text in addresses.items():
+        try:
+            split_endpoint(text)
+        except ValueError as error:
+            raise SettingsError(f"{field}: {error}") from None
+    if not found.member:
+        raise SettingsError("member: must not be empty")
+    limits = found.settings
+    if not limits.zones:
+        raise SettingsError("settings.zones: at least one zone is needed")
+    groups = {"settings.workers": limits.workers, "settings.state": limits.state,
+              "settings.cloud": limits.cloud}
+    for path, names in POSITIVE.items():
+        for name in names:
+            if not getattr(groups[path], name) > 0:
+                raise SettingsError(f"{path}.{name}: must be above 0")
+    teams = [team.name for team in limits.teams]
+    if len(set(teams)) != len(teams):
+        raise SettingsError("settings.teams: a name stands twice")
+
+
+def load(path: str | Path) -> Settings:
+    """Read and check a settings file; SettingsError says what is wrong, naming the file."""
+    try:
+        raw = Path(path).read_bytes()
+    except OSError as error:
+        raise SettingsError(f"{path}: {error.strerror or error}") from None
+    try:
+        tree = tomllib.loads(raw.decode())
+    except (UnicodeDecodeError, tomllib.TOMLDecodeError) as error:
+        raise SettingsError(f"{path}: not TOML: {error}") from None
+    try:
+        found = msgspec.convert(tree, Settings)
+        check(found)
+    except msgspec.ValidationError as error:
+        raise SettingsError(f"{path}: {error}") from None
+    except SettingsError as error:
+        raise SettingsError(f"{path}: {error}") from None
+    return found
--- /dev/null
+++ b/src/salthead/term.py
@@ -0,0 +1,467 @@
+"""One term of one leader: the ledger, and the loops that bring the world in line with it."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import logging
+from collections.abc import Coroutine
+from typing import TYPE_CHECKING, Any
+
+from salthead import metrics
+from salthead.bookkeeping import records
+from salthead.bookkeeping.store import (
+    Compacted,
+    Conflict,
+    NoLease,
+    Refused,
+    drop,
+    put,
+)
+from salthead.coordination import fleet, placement, preemption
+from salthead.coordination.lease import LeaseClock
+from salthead.coordination.ledger import BOOTING, Job, Ledger, Machine
+from salthead.protocol import names
+from salthead.protocol.messages import Hired, Hosts, Malformed, Report, Submission, shape
+from salthead.transport.client import Unanswered
+from salthead.transport.limits import Budget
+
+if TYPE_CHECKING:
+    from salthead.service import Node
+
+log = logging.getLogger("salthead.term")
+
+TROUBLES = (Refused, Unanswered, Malformed, NoLease, Compacted, KeyError, TypeError, ValueError)
+DECIDE_GAP_S = 0.1
+SAVE_GAP_S = 0.25
+# Tasks of an unfinished job are saved at most this often; their ends are kept by the worker.
+PART_GAP_S = 2.0
+IDLE_S = 60.0
+
+
+class Deposed(Exception):
+    """Somebody else leads, or may."""
+
+
+class Term:
+    def __init__(
+        self, node: Node, token: int, stamp: int, tether: int, clock: LeaseClock,
+    ) -> None:
+        self.node = node
+        self.store = node.store
+        self.limits = node.limits
+        self.now = node.now
+        self.token = token
+        self.stamp = stamp
+        self.tether = tether
+        self.clock = clock
+        self.ledger = Ledger(node.limits, token, node.now())
+        self.ledger.on_change = self.wake
+        self.ledger.set_flavors(node.flavors.values())
+        self.changed = asyncio.Event()
+        self.hire_count = 0
+        self.coming: dict[fleet.Kind, int] = {}
+        self.refusals = fleet.Refusals()
+        self.jobs_stamp: dict[str, int] = {}
+        self.since = 0
+        self.part_at: dict[str, float] = {}
+        # A quarter is left for the other nodes' reads of machine types.
+        self.cloud_budget = Budget(node.limits.cloud.rps * 0.7, node.limits.cloud.rps, node.now)
+        self.background: set[asyncio.Task[None]] = set()
+        self.end_lock = asyncio.Lock()
+
+    def valid(self) -> bool:
+        return self.clock.valid(self.now())
+
+    def wake(self) -> None:
+        self.changed.set()
+
+    async def run(self) -> None:
+        """Until the lease has ended; then nothing of this term goes on."""
+        tasks = [
+            asyncio.create_task(loop) for loop in (
+                self.renew_loop(), self.work_loop(),
+            )
+        ]
+        try:
+            done, _ = await asyncio.wait(tasks, return_when=asyncio.FIRST_COMPLETED)
+            for task in done:
+                if (error := task.exception()) is not None and not isinstance(error, Deposed):
+                    log.error("term %d ends by an error", self.token, exc_info=error)
+        finally:
+            self.clock.drop()
+            for task in [*tasks, *self.background]:
+                task.cancel()
+            await asyncio.gather(*tasks, *self.background, return_exceptions=True)
+            with contextlib.suppress(Unanswered, Refused):
+                await self.store.end_grant(self.tether)
+
+    async def work_loop(self) -> None:
+        while not self.ledger.loaded:
+            try:
+                await self.load()
+            except TROUBLES as error:
+                self.node.note("load", error)
+                await self.node.rest(0.3)
+        loops = [self.watch_loop(), self.decide_loop(), self.save_loop(), self.roster_loop(),
+                 self.list_loop(), self.fleet_loop(), self.stranger_loop()]
+        async with asyncio.TaskGroup() as group:
+            for loop in loops:
+                group.create_task(loop)
+
+    # -- the lease ----------------------------------------------------------------------
+
+    async def renew_loop(self) -> None:
+        ttl = self.clock.ttl
+        while True:
+            if self.ledger.deposed_by:
+                log.warning("a worker has seen token %d", self.ledger.deposed_by)
+                return
+            sent = self.now()
+            try:
+                await self.store.extend(self.tether, timeout=ttl / 4)
+                self.clock.renewed(sent)
+                await asyncio.sleep(ttl / 5)
+            except NoLease:
+                log.warning("the lease of token %d has ended", self.token)
+                return
+            except TROUBLES as error:
+                self.node.note("renew", error)
+                await self.node.rest(ttl / 12)
+
+    async def txn(self, when: dict[str, int], apply: list[dict[str, Any]]) -> int:
+        """A write that only takes effect while this term leads."""
+        if not self.valid():
+            raise Unanswered("lease not certain")
+        try:
+            return await self.store.txn({records.LEAD: self.stamp} | when, apply)
+        except Conflict as error:
+            if records.LEAD in error.failed:
+                self.ledger.deposed_by = max(self.ledger.deposed_by, self.token + 1)
+                raise Unanswered("deposed") from None
+            raise
+
+    # -- loading and following jobs -----------------------------------------------------
+
+    async def load(self) -> None:
+        ledger = self.ledger
+        jobs, self.since = await self.store.rows(records.JOBS)
+        parts, _ = await self.store.rows(records.PARTS)
+        roster, _ = await self.store.rows(records.ROSTER)
+        now = self.now()
+        for key, (value, stamp) in jobs.items():
+            self.take_row(key, value, stamp)
+        size = records.part_size(self.limits.state.value_kb)
+        for key, (value, _) in parts.items():
+            uid, _, number = key.removeprefix(records.PARTS).rpartition("/")
+            job = ledger.jobs.get(uid)
+            if job is not None:
+                base = int(number) * size
+                ledger.load_done(job, (base + n for n in records.from_ranges(value)))
+        for key, (value, _) in roster.items():
+            ledger.add_machine(key.removeprefix(records.ROSTER), value["build"], value["paddock"],
+                               bool(value["borrowed"]), now, rostered=True)
+        ledger.loaded = True
+        log.info("loaded %d jobs, %d machines", len(ledger.jobs), len(ledger.machines))
+
+    def take_row(self, key: str, value: Any, stamp: int) -> None:
+        try:
+            spec = records.job_from(value)
+        except Malformed as error:
+            self.node.note("job record", f"{key}: {error}")
+            return
+        self.jobs_stamp[spec.uid] = stamp
+        if spec.uid not in self.node.finals:
+            self.ledger.add_job(spec, self.now())
+
+    def add_job(self, spec: Submission) -> None:
+        self.ledger.add_job(spec, self.now())
+
+    async def watch_loop(self) -> None:
+        """Jobs that any node accepted."""
+        while True:
+            try:
+                events, self.since = await self.store.changes(records.JOBS, self.since, 10.0)
+                for event in events:
+                    if "set" in event:
+                        self.take_row(event["set"], event.get("value"), event.get("stamp", 0))
+            except Compacted:
+                try:
+                    rows, self.since = await self.store.rows(records.JOBS)
+                    for key, (value, stamp) in rows.items():
+                        self.take_row(key, value, stamp)
+                except TROUBLES as error:
+                    self.node.note("job list", error)
+                    await self.node.rest(1.0)
+            except TROUBLES as error:
+                self.node.note("job watch", error)
+                await self.node.rest(0.5)
+
+    async def stranger_loop(self) -> None:
+        """Stray tasks of jobs that are over: whose quota do they use?"""
+        while True:
+            for uid in list(self.ledger.strangers):
+                try:
+                    row = await self.store.get(records.over_key(uid))
+                    if row is not None:
+                        self.ledger.know_stranger(records.over_from(row[0])[1])
+                except TROUBLES as error:
+                    self.node.note("stray task", error)
+            await self.node.rest(0.5)
+
+    # -- deciding -----------------------------------------------------------------------
+
+    def on_report(self, report: Report) -> list[dict[str, Any]] | None:
+        return self.ledger.on_report(report, self.now())
+
+    async def decide_loop(self) -> None:
+        while True:
+            with contextlib.suppress(TimeoutError):
+                await asyncio.wait_for(self.changed.wait(), 0.25)
+            self.changed.clear()
+            now = self.now()
+            self.ledger.tick(now)
+            if self.valid():
+                starved = placement.place(self.ledger, self.node.rng, now)
+                preemption.preempt(self.ledger, starved, now)
+                preemption.drain(self.ledger, now)
+            await asyncio.sleep(DECIDE_GAP_S)
+
+    # -- outcomes -----------------------------------------------------------------------
+
+    async def end_job(self, job: Job, phase: str) -> None:
+        """Write the outcome, then let it be told. One at a time, so that two never cross."""
+        async with self.end_lock:
+            if job.over:
+                return
+            uid = job.uid
+            try:
+                await self.txn(
+                    {records.over_key(uid): 0},
+                    [put(records.over_key(uid), records.over_value(job.spec, phase)),
+                     drop(records.job_key(uid))])
+            except Conflict:
+                # An earlier try of ours took effect without an answer: what it wrote counts.
+                row = await self.store.get(records.over_key(uid))
+                if row is None:
+                    raise Unanswered("outcome in doubt") from None
+                phase = records.over_from(row[0])[0]
+            self.node.final(uid, phase, job.spec.pieces)
+            self.jobs_stamp.pop(uid, None)
+            self.ledger.end_job(job, phase)
+            log.info("job %s %s", uid, phase)
+
+    async def cancel(self, uid: str) -> dict[str, Any] | None:
+        job = self.ledger.jobs.get(uid) if self.ledger.loaded else None
+        if job is None:
+            found = await self.node.read(uid)
+            if found is None or found["phase"] in (names.DONE, names.ABORTED):
+                return found
+            row = await self.store.get(records.job_key(uid))
+            if row is None or not self.ledger.loaded:
+                raise Unanswered("cancel in doubt")
+            self.take_row(records.job_key(uid), *row)
+            job = self.ledger.jobs[uid]
+        if not job.over:
+            await self.end_job(job, names.DONE if job.complete else names.ABORTED)
+        return {"uid": uid, "phase": job.over}
+
+    async def save_loop(self) -> None:
+        size = records.part_size(self.limits.state.value_kb)
+        while True:
+            await self.node.rest(SAVE_GAP_S)
+            try:
+                await self.save(size)
+            except (Conflict, *TROUBLES) as error:
+                self.node.note("save", error)
+                await self.node.rest(0.5)
+
+    async def save(self, size: int) -> None:
+        for job in [job for job in self.ledger.jobs.values() if job.complete and not job.over]:
+            await self.end_job(job, names.DONE)
+        now = self.now()
+        batch: list[dict[str, Any]] = []
+        covered: list[tuple[Job, list[int]]] = []
+        for job in list(self.ledger.jobs.values()):
+            if job.over or not job.dirty or now - self.part_at.get(job.uid, -1e9) < PART_GAP_S:
+                continue
+            for part in sorted({index // size for index in job.dirty}):
+                if len(batch) >= self.limits.state.txn_ops:
+                    break
+                base = part * size
+                done = [n for n in range(base, min(base + size, job.spec.pieces)) if job.done[n]]
+                batch.append(put(records.part_key(job.uid, part),
+                                 records.to_ranges(n - base for n in done)))
+                covered.append((job, done))
+        if not batch:
+            return
+        await self.txn({}, batch)
+        for job, done in covered:
+            self.part_at[job.uid] = now
+            self.ledger.saved(job, done)
+        if len(self.part_at) > 1000:
+            self.part_at = {u: t for u, t in self.part_at.items() if u in self.ledger.jobs}
+
+    # -- machines -----------------------------------------------------------------------
+
+    async def roster_loop(self) -> None:
+        """A machine's key is durable before the first start is sent to it."""
+        while True:
+            fresh = [m for m in self.ledger.machines.values() if not m.rostered]
+            fresh = fresh[: self.limits.state.txn_ops]
+            if fresh:
+                try:
+                    await self.txn({}, [
+                        put(records.roster_key(m.name), {
+                            "build": self.ledger.builds[m.build],
+                            "paddock": self.ledger.zones[m.zone], "borrowed": m.borrowed})
+                        for m in fresh])
+                    for machine in fresh:
+                        machine.rostered = True
+                    self.wake()
+                except (Conflict, *TROUBLES) as error:
+                    self.node.note("roster", error)
+            await self.node.rest(0.3)
+
+    async def list_loop(self) -> None:
+        while True:
+            try:
+                await self.read_list()
+            except TROUBLES as error:
+                self.node.note("cloud list", error)
+            await self.node.rest(max(2.0, 2.0 / self.limits.cloud.rps))
+
+    async def read_list(self) -> None:
+        start = ""
+        while True:
+            await self.cloud_budget.wait()
+            query: dict[str, Any] = {"most": 500}
+            if start:
+                query["from"] = start
+            answer = await self.node.cloud.call("GET", names.HOSTS, query=query, timeout=3.0)
+            if answer.status != 200:
+                raise Refused(answer.status, "cloud list")
+            page = shape(answer.body, Hosts)
+            now = self.now()
+            for host in page.saltlicks:
+                start = host.uid
+                if host.uid in self.ledger.recently_gone:
+                    continue  # the list lags
+                known = host.uid in self.ledger.machines
+                machine = self.ledger.add_machine(
+                    host.uid, host.build, host.paddock, host.borrowed, now)
+                if not known:
+                    log.info("machine %s found in the list (%s)", host.uid, host.phase)
+                    machine.hired_at = now - host.age_s
+                elif machine.phase == BOOTING:
+                    machine.hired_at = min(machine.hired_at, now - host.age_s)
+                if host.phase == names.FAILED and not machine.condemned:
+                    machine.condemned = "failed"
+                    log.info("machine %s failed", host.uid)
+            if not page.truncated:
+                return
+
+    async def fleet_loop(self) -> None:
+        while True:
+            await self.node.rest(0.5)
+            if not self.valid():
+                continue
+            plan = fleet.plan(self.ledger, self.now(), self.refusals, self.coming, IDLE_S)
+            for kind, count in plan.hires.items():
+                self.spawn(self.hire(kind, count))
+            if plan.returns:
+                for machine in plan.returns:
+                    machine.returning = True
+                self.spawn(self.give_back(plan.returns[:100]))
+                for machine in plan.returns[100:]:
+                    machine.returning = False
+            self.show()
+
+    def show(self) -> None:
+        phases: dict[str, int] = {}
+        for machine in self.ledger.machines.values():
+            phases[machine.phase] = phases.get(machine.phase, 0) + 1
+        for phase in ("up", "booting", "lost"):
+            metrics.MACHINES.labels(phase).set(phases.get(phase, 0))
+        metrics.ACTIVE.set(len(self.ledger.jobs))
+        metrics.WAITING.set(sum(job.waiting() for job in self.ledger.jobs.values()))
+
+    def spawn(self, work: Coroutine[Any, Any, None]) -> None:
+        task = asyncio.create_task(work)
+        self.background.add(task)
+        task.add_done_callback(self._ended)
+
+    def _ended(self, task: asyncio.Task[None]) -> None:
+        self.background.discard(task)
+        if not task.cancelled() and (error := task.exception()) is not None:
+            log.error("background work failed", exc_info=error)
+
+    async def hire(self, kind: fleet.Kind, count: int) -> None:
+        build, zone, borrowed = kind
+        self.hire_count += 1
+        name = f"{self.token}-{self.hire_count}"
+        self.coming[kind] = self.coming.get(kind, 0) + count
+        type_name, zone_name = self.ledger.builds[build], self.ledger.zones[zone]
+        body = {"hire": name, "build": type_name, "how_many": count,
+                "paddock": zone_name, "borrowed": borrowed}
+        got = 0
+        try:
+            # The same name again rents nothing twice, so an unanswered request is repeated.
+            for _ in range(4):
+                await self.cloud_budget.wait()
+                try:
+                    answer = await self.node.cloud.call("POST", names.HOSTS, body, timeout=4.0)
+                except Unanswered as error:
+                    self.node.note("hire", error)
+                    await self.node.rest(1.0)
+                    continue
+                if answer.status != 200:
+                    if answer.body.get("error") != "no capacity":
+                        self.node.note("hire", f"{answer.status} {answer.body}")
+                    break
+                hosts = shape(answer.body, Hired).saltlicks
+                now = self.now()
+                for host in hosts:
+                    self.ledger.add_machine(host, type_name, zone_name, borrowed, now)
+                got = len(hosts)
+                break
+        except Malformed as error:
+            self.node.note("hire", error)
+        finally:
+            self.coming[kind] -= count
+        log.info("hire %s: %d of %d %s in %s%s", name, got, count, type_name, zone_name,
+                 " borrowed" if borrowed else "")
+        if got < count:
+            self.refusals.refused(kind, self.now())
+        else:
+            self.refusals.granted(kind)
+        self.wake()
+
+    async def give_back(self, machines: list[Machine]) -> None:
+        hosts = [machine.name for machine in machines]
+        try:
+            await self.cloud_budget.wait()
+            answer = await self.node.cloud.call(
+                "POST", names.HOSTS_RETURN, {"saltlicks": hosts}, timeout=4.0)
+            if answer.status != 200:
+                raise Refused(answer.status, "return")
+        except TROUBLES as error:
+            self.node.note("return", error)
+            await self.node.rest(1.0)
+            for machine in machines:
+                machine.returning = False
+            return
+        now = self.now()
+        for machine in machines:
+            log.info("returned %s after %.0f s", machine.name, now - machine.hired_at)
+            self.ledger.machine_gone(machine, now)
+        keys = [records.roster_key(host) for host in hosts]
+        most = self.limits.state.txn_ops
+        for start in range(0, len(keys), most):
+            for _ in range(5):
+                try:
+                    await self.txn({}, [drop(key) for key in keys[start:start + most]])
+                    break
+                except (Conflict, *TROUBLES) as error:
+                    self.node.note("roster", error)
+                    await self.node.rest(1.0)
