--- a/src/salthead/protocol/names.py
+++ b/src/salthead/protocol/names.py
@@ -4,6 +4,8 @@
 WORK = "/work"
 UP = "/up"
 HELLO = "/hello"
+# path, operators
+OVERVIEW = "/overview"
 # paths, workers
 DO = "/do"
 # paths, cloud
@@ -18,6 +20,7 @@
 # paths between controllers
 PEER_POLL = "/peer/poll"
 PEER_CANCEL = "/peer/cancel"
+PEER_OVERVIEW = "/peer/overview"
 PEER_PROMISE = "/peer/promise"
 
 # phases of a job
--- a/src/salthead/service.py
+++ b/src/salthead/service.py
@@ -336,6 +336,19 @@
             return read
         raise Later("no leader")
 
+    async def overview(self) -> dict[str, Any]:
+        """Queue and fleet, from the leader wherever it is."""
+        term = self.leading()
+        if term is not None:
+            return term.overview()
+        peer = self.peers.get(self.leader or "")
+        if peer is None:
+            raise Later("no leader")
+        answer = await peer.call("POST", names.PEER_OVERVIEW, timeout=2.0)
+        if answer.status != 200:
+            raise Later("no leader")
+        return answer.body
+
     async def ask_leader(self, path: str, uid: str, timeout: float) -> dict[str, Any] | None:
         peer = self.peers.get(self.leader or "")
         if peer is None:
--- a/src/salthead/term.py
+++ b/src/salthead/term.py
@@ -38,6 +38,7 @@
 # Tasks of an unfinished job are saved at most this often; their ends are kept by the worker.
 PART_GAP_S = 2.0
 SHOW_S = 10.0
+OVERVIEW_ROWS = 150
 
 
 class Deposed(Exception):
@@ -449,6 +450,37 @@
                     machine.returning = False
             self.show()
 
+    def overview(self) -> dict[str, Any]:
+        """Queue and fleet for operators, cut to what fits into an answer."""
+        ledger, now = self.ledger, self.now()
+        jobs = []
+        for job in sorted(ledger.jobs.values(), key=lambda job: job.spec.at)[:OVERVIEW_ROWS]:
+            phase, done, running = ledger.phase_of(job)
+            jobs.append({
+                "uid": job.uid, "crew": job.spec.crew, "breed": job.spec.breed,
+                "urgency": job.spec.urgency, "phase": phase, "waiting": job.waiting(),
+                "running": running, "done": done, "pieces": job.spec.pieces})
+        machines = []
+        for machine in sorted(ledger.machines.values(), key=lambda m: m.name)[:OVERVIEW_ROWS]:
+            notes = [
+                machine.condemned, "cordoned" if machine.cordoned else "",
+                f"kept for {machine.held_for}" if now < machine.held_until else "",
+                "is taken soon" if machine.warn_at is not None else ""]
+            machines.append({
+                "name": machine.name, "build": ledger.builds[machine.build],
+                "zone": ledger.zones[machine.zone],
+                "kind": "spot" if machine.borrowed else "ordinary", "phase": machine.phase,
+                "cpus": machine.cap[0], "used": round(machine.used[0], 3),
+                "note": ", ".join(note for note in notes if note)})
+        teams = [
+            {"name": name, "cpus": round(ledger.usage[n][0], 3),
+             "guaranteed": ledger.guarantees[n][0], "most": ledger.caps[n][0]}
+            for n, name in enumerate(ledger.crews.names)]
+        return {
+            "leader": self.node.settings.member, "token": self.token, "ready": ledger.ready,
+            "teams": teams, "jobs": jobs, "jobs_total": len(ledger.jobs),
+            "machines": machines, "machines_total": len(ledger.machines)}
+
     def show(self) -> None:
         phases: dict[str, int] = {}
         for machine in self.ledger.machines.values():
--- a/src/salthead/transport/server.py
+++ b/src/salthead/transport/server.py
@@ -134,6 +134,27 @@
         self.finish(generate_latest(metrics.REGISTRY))
 
 
+class Overview(Base):
+    label = "overview"
+
+    async def get(self) -> None:
+        try:
+            self.reply(200, await self.node.overview())
+        except CANT_NOW as error:
+            self.reply(503, {"error": str(error)[:200]})
+
+
+class PeerOverview(Base):
+    label = "peer overview"
+
+    def post(self) -> None:
+        term = self.node.leading()
+        if term is None:
+            self.reply(503, {"error": "not the leader"})
+        else:
+            self.reply(200, term.overview())
+
+
 class PeerPoll(Base):
     label = "peer poll"
 
@@ -202,6 +223,7 @@
         (names.WORK, Work),
         (names.WORK + r"/([^/]+)/cancel", Cancel),
         (names.WORK + r"/([^/]+)", Poll),
+        (names.OVERVIEW, Overview),
         ("/metrics", Metrics),
     ])
 
@@ -211,6 +233,7 @@
         (names.PEER_POLL, PeerPoll),
         (names.PEER_CANCEL, PeerCancel),
         (names.PEER_PROMISE, PeerPromise),
+        (names.PEER_OVERVIEW, PeerOverview),
     ])
 
 
