--- a/src/salthead/service.py
+++ b/src/salthead/service.py
@@ -34,6 +34,7 @@
 TROUBLES = (Refused, Unanswered, Malformed, NoLease, Conflict, KeyError, TypeError, ValueError)
 # A worker whose leader hangs tries the next node after its time-out of 4 s and 1 s more.
 KNOCK_S = 6.0
+LAG_EVERY_S, LAG_MOST_S = 0.25, 0.5
 FINALS_KEPT = 20_000
 
 
@@ -69,6 +70,8 @@
             lease.leader_ttl(self.limits.workers.lease_s), self.now())
         self.finals: OrderedDict[str, tuple[str, int]] = OrderedDict()
         self.trouble: dict[str, float] = {}
+        self.lag = 0.0
+        self.submitting = 0
         self.knocks: dict[str, float] = {}  # workers that this node sent to the leader, and when
 
     # -- small helpers ------------------------------------------------------------------
@@ -101,6 +104,22 @@
         async with asyncio.TaskGroup() as group:
             group.create_task(self.elect_loop())
             group.create_task(self.flavor_loop())
+            group.create_task(self.lag_loop())
+
+    async def lag_loop(self) -> None:
+        """How late this process's own timers are: the sign that it is asked too much."""
+        while True:
+            due = self.now() + LAG_EVERY_S
+            await asyncio.sleep(LAG_EVERY_S)
+            self.lag = self.now() - due
+
+    def overloaded(self) -> bool:
+        """Whether submissions are shed, so that reports and decisions keep their turn.
+
+        More submissions in progress than the state service takes writes in a second can't be
+        answered in time anyway.
+        """
+        return self.lag > LAG_MOST_S or self.submitting >= max(4.0, self.limits.state.write_rps)
 
     async def flavor_loop(self) -> None:
         """Machine types: from the cloud, or as an earlier leader stored them."""
@@ -266,6 +285,16 @@
             job.builds = sorted({name for name in job.builds if name in self.flavors})
 
     async def submit(self, job: Submission) -> tuple[int, dict[str, Any]]:
+        """POST /work: status and body, or one of the errors that mean 4xx or 503."""
+        if self.overloaded():
+            raise Later("overloaded")
+        self.submitting += 1
+        try:
+            return await self.accept(job)
+        finally:
+            self.submitting -= 1
+
+    async def accept(self, job: Submission) -> tuple[int, dict[str, Any]]:
         known = self.finals.get(job.uid)
         if known is not None:
             return 200, status_body(job.uid, known[0], known[1] if known[0] == names.DONE else 0)
--- a/tests/test_http.py
+++ b/tests/test_http.py
@@ -89,6 +89,19 @@
         assert self.ask("POST", "/work", encode(JOB))[0] == 503
         assert self.ask("GET", "/up")[0] == 503
 
+    def test_submissions_are_shed_first(self) -> None:
+        for lag, submitting, status in ((0.6, 0, 503), (0.0, 40, 503), (0.1, 39, 201)):
+            self.node.lag, self.node.submitting = lag, submitting
+            got, _, headers = self.ask("POST", "/work", encode(JOB))
+            assert got == status, (lag, submitting)
+            assert status == 201 or "Retry-After" in headers
+            self.shelf.rows.clear()
+        self.node.lag = 9.0
+        assert self.ask("GET", "/work/req-7")[0] == 404, "polls are answered"
+        report = encode({"saltlick": "h", "tenure": 1, "tally": 1, "pieces": []})
+        self.node.leader = "n2"
+        assert self.ask("POST", "/hello", report)[0] == 421, "reports are answered"
+
     def test_polls_and_cancels(self) -> None:
         spec = Submission(**JOB)
         self.shelf.rows[records.job_key("req-7")] = records.job_value(spec)
