Quota kept for gangs that are due, overdue first, scarce types last for small tasks

Cause: gangs of linkgang wait for their team's limit, of which small tasks take each freed bit; coaststitch waits for the only type that fits it, over which small tasks lie scattered (its starts in time: 9 to 60%).

--- a/src/salthead/coordination/fleet.py
+++ b/src/salthead/coordination/fleet.py
@@ -130,8 +130,12 @@
 
 
 def kinds_for(ledger: Ledger, job: Job, refusals: Refusals, now: float) -> list[Kind]:
-    """Kinds that suit the job, the cheapest place for one of its tasks first."""
-    found: list[tuple[float, Kind]] = []
+    """Kinds that suit the job, the cheapest place for one of its tasks first.
+
+    Types that are the only ones for another class come last: their number is limited, and small
+    tasks on them would keep that class waiting.
+    """
+    found: list[tuple[bool, float, Kind]] = []
     for build, flavor in ledger.flavors.items():
         if job.builds is not None and build not in job.builds:
             continue
@@ -147,9 +151,10 @@
                     continue
                 kind = (build, zone, borrowed)
                 if refusals.open(kind, now):
-                    found.append((price(ledger, kind) / fit, kind))
+                    last = build in ledger.scarce and not job.choosy
+                    found.append((last, price(ledger, kind) / fit, kind))
     found.sort()
-    return [kind for _, kind in found]
+    return [kind for _, _, kind in found]
 
 
 def horizon(ledger: Ledger) -> float:
--- a/src/salthead/coordination/gangs.py
+++ b/src/salthead/coordination/gangs.py
@@ -8,7 +8,6 @@
 from __future__ import annotations
 
 import logging
-import math
 
 from salthead.coordination import order, placement
 from salthead.coordination.ledger import EPS, Job, Ledger, Machine
@@ -48,11 +47,7 @@
             continue
         # Kept room stands empty, so while others wait for room it is kept no earlier than the
         # gang's own target asks.
-        run_s = ledger.estimates.run_s(job.spec.breed, job.spec.guess_s)
-        start_by = order.target(ledger, job, run_s, now)
-        if crowded and start_by < math.inf and (
-            now - job.submitted < 0.5 * (start_by - job.submitted)
-        ):
+        if crowded and not order.due(ledger, job, now):
             continue
         rows = []
         for machine in placement.base_candidates(ledger, job, now):
--- a/src/salthead/coordination/ledger.py
+++ b/src/salthead/coordination/ledger.py
@@ -172,8 +172,11 @@
     wait_until: float = 0.0  # after errors and refusals
     pause_until: float = 0.0  # after a draw without candidates
     pause: float = 0.0
+    behind: tuple[float, float] = (0.0, 0.0)  # quota kept for gangs before it in line
+    short: bool = False  # of quota, at the last pass
     error_machines: set[str] = field(default_factory=set)
     first_start: float | None = None
+    choosy: bool = False  # fits on no type but those that are scarce
     fresh: bool = False  # accepted after this term began: no earlier leader started any of it
 
     @property
@@ -243,6 +246,8 @@
         # at the rows with room alone, so that its cost does not grow with a full fleet.
         self.free: dict[Kind, list[dict[Machine, None]]] = {}
         self.kept: dict[Machine, None] = {}  # machines that are, or lately were, kept for a job
+        # Types that are the only ones for some class of jobs, as seen in this term.
+        self.scarce: set[int] = set()
         self.stops: list[Binding] = []  # wanted since they were last sent directly
         self.ranks = [0] * len(names.URGENCIES)  # tasks bound, by urgency
         self._silent: tuple[float, float] | None = None
@@ -306,9 +311,21 @@
             fresh=fresh,
         )
         self.jobs[spec.uid] = job
+        fitting = self.fitting(job)
+        if len(fitting) == 1 < len(self.flavors):
+            self.scarce |= fitting
+        job.choosy = fitting <= self.scarce
         self.on_change()
         return job
 
+    def fitting(self, job: Job) -> set[int]:
+        """Types that a task of the job may be on and fits on."""
+        return {
+            build for build in self.flavors
+            if (job.builds is None or build in job.builds)
+            and all(c + EPS >= n for c, n in zip(self.capacity(build), job.need, strict=True))
+        }
+
     def load_done(self, job: Job, indices: Iterable[int]) -> None:
         """Tasks that an earlier term saved as done."""
         for index in indices:
--- a/src/salthead/coordination/order.py
+++ b/src/salthead/coordination/order.py
@@ -3,6 +3,8 @@
 Under overload, first come first served makes every job late. Within one rank, jobs are taken by
 their next target that can still be met; where the sum of the work ahead would miss one, the job
 with the most work goes behind (Moore's rule), since it costs the others the most.
+That has a bound: who has waited for long without beginning comes first, by age, or a lasting
+overload would starve the largest.
 """
 
 from __future__ import annotations
@@ -12,6 +14,35 @@
 
 from salthead.coordination.ledger import Job, Ledger
 
+# The protocol: the largest jobs of a class, too, begin within four minutes.
+BEGIN_WITHIN_S = 240.0
+
+
+def overdue(job: Job, now: float) -> bool:
+    """Whether half of the time within which any job has to begin is gone."""
+    return job.first_start is None and not job.n_done and (
+        now - job.submitted > 0.5 * BEGIN_WITHIN_S)
+
+
+def due(ledger: Ledger, job: Job, now: float) -> bool:
+    """Whether half of the wait that the job's next target allows is gone."""
+    if overdue(job, now):
+        return True
+    run_s = ledger.estimates.run_s(job.spec.breed, job.spec.guess_s)
+    start_by = target(ledger, job, run_s, now)
+    return start_by == math.inf or now - job.submitted >= 0.5 * (start_by - job.submitted)
+
+
+def reserving(ledger: Ledger, job: Job, now: float) -> bool:
+    """Whether quota is kept for a gang that waits: others would take it piece by piece.
+
+    A gang that can't be placed for other reasons must not hold up its team for ever, so after
+    twice the time in which it should have begun it does so only every other while.
+    """
+    age = now - job.submitted
+    return job.gang and due(ledger, job, now) and (
+        age < 2.0 * BEGIN_WITHIN_S or int(age / BEGIN_WITHIN_S) % 2 == 0)
+
 
 def target(ledger: Ledger, job: Job, run_s: float, now: float) -> float:
     """The latest time at which the job may start and still meet its next target; inf if none."""
@@ -38,7 +69,11 @@
 def by_targets(ledger: Ledger, jobs: list[Job], rate: float, now: float) -> list[Job]:
     """One rank's jobs in the order in which they are served; ``rate`` is in CPUs."""
     rows: list[tuple[float, float, str, float, Job]] = []
+    first = sorted((job for job in jobs if overdue(job, now)),
+                   key=lambda job: (job.submitted, job.uid))
     for job in jobs:
+        if overdue(job, now):
+            continue
         run_s = ledger.estimates.run_s(job.spec.breed, job.spec.guess_s)
         work = job.waiting() * max(job.need[0], 0.1) * run_s
         rows.append((target(ledger, job, run_s, now), job.submitted, job.uid, work, job))
@@ -62,7 +97,7 @@
     for at, row in enumerate(rows):
         (behind if at in put_off else kept).append(row)
     behind.sort(key=lambda row: row[1:3])
-    return [row[4] for row in kept + behind]
+    return first + [row[4] for row in kept + behind]
 
 
 def rate_of(ledger: Ledger) -> float:
--- a/src/salthead/coordination/placement.py
+++ b/src/salthead/coordination/placement.py
@@ -58,7 +58,8 @@
         if job.need[n] > 0:
             # Any team may be using all of the machines that have not been heard from.
             silent = 0.0 if ledger.ready else ledger.silent()[n]
-            left = min(left, (most[n] - usage[n] - silent + EPS) // job.need[n])
+            free = most[n] - usage[n] - silent - job.behind[n]
+            left = min(left, (free + EPS) // job.need[n])
     return max(0, int(left))
 
 
@@ -87,11 +88,13 @@
     )
 
 
-def open_to(job: Job, machine: Machine, now: float) -> bool:
-    """Not kept for another job."""
+def open_to(ledger: Ledger, job: Job, machine: Machine, now: float) -> bool:
+    """Not kept for another job, nor of a type that only others can use unless time presses."""
     return (
         not machine.held_for or machine.held_for == job.uid or now >= machine.held_until
-    ) and machine.name not in job.error_machines
+    ) and machine.name not in job.error_machines and (
+        job.choosy or machine.build not in ledger.scarce or order.due(ledger, job, now)
+    )
 
 
 def zone_counts(job: Job) -> dict[int, int]:
@@ -122,21 +125,25 @@
 
     Without that filter a fetch, often longer than the task, precedes the first task of each
     image on each machine, and the start misses a guarantee that free room could have kept.
+
+    Machines of a type that is the only one for another class come last. Small tasks scatter over
+    them as over any, and then that class waits until a whole machine has drained.
     """
 
-    def __init__(self, job: Job, candidates: Iterable[Machine]) -> None:
+    def __init__(self, ledger: Ledger, job: Job, candidates: Iterable[Machine]) -> None:
         self.need = job.need
-        self.near: list[Machine] = []
-        self.far: list[Machine] = []
+        self.pools: list[list[Machine]] = [[], [], [], []]
         kit = job.spec.kit
         for machine in candidates:
-            (self.near if kit and kit in machine.images else self.far).append(machine)
+            last = 0 if job.choosy or machine.build not in ledger.scarce else 2
+            far = 0 if kit and kit in machine.images else 1
+            self.pools[last + far].append(machine)
 
-    def __len__(self) -> int:
-        return len(self.near) + len(self.far)
+    def zones(self) -> set[int]:
+        return {machine.zone for pool in self.pools for machine in pool}
 
     def draw(self, rng: random.Random) -> Machine | None:
-        for pool in (self.near, self.far):
+        for pool in self.pools:
             if pool:
                 return draw(pool, rng)
         return None
@@ -144,11 +151,12 @@
     def used(self, machine: Machine) -> None:
         """Drop the machine if one more task does not fit any more."""
         if not machine.fits(self.need):
-            (self.near if machine in self.near else self.far).remove(machine)
+            for pool in self.pools:
+                if machine in pool:
+                    pool.remove(machine)
 
     def close(self, zone: int) -> None:
-        self.near = [m for m in self.near if m.zone != zone]
-        self.far = [m for m in self.far if m.zone != zone]
+        self.pools = [[m for m in pool if m.zone != zone] for pool in self.pools]
 
 
 def kinds(ledger: Ledger, job: Job) -> list[Kind]:
@@ -165,7 +173,7 @@
     """The filter: machines that suit the job and have room for one task, zones aside."""
     return [
         machine for machine in ledger.with_room(kinds(ledger, job), job.need)
-        if usable(ledger, machine, now) and open_to(job, machine, now)
+        if usable(ledger, machine, now) and open_to(ledger, job, machine, now)
     ]
 
 
@@ -173,7 +181,7 @@
     """Machines that suit the job, room and its other tasks' zones aside."""
     return [
         machine for kind in kinds(ledger, job) for row in ledger.free[kind] for machine in row
-        if usable(ledger, machine, now) and open_to(job, machine, now)
+        if usable(ledger, machine, now) and open_to(ledger, job, machine, now)
     ]
 
 
@@ -184,11 +192,11 @@
     wanted = min(job.waiting(), quota_left(ledger, job))
     if wanted <= 0:
         return 0
-    urn = Urn(job, candidates(ledger, job, now) if only is None else [only])
+    urn = Urn(ledger, job, candidates(ledger, job, now) if only is None else [only])
     counts = zone_counts(job)
     zoned = job.spec.same_place or job.spec.apart
     if zoned:
-        for zone in {m.zone for m in urn.near + urn.far}:
+        for zone in urn.zones():
             if not zone_open(job, zone, counts):
                 urn.close(zone)
     bound = 0
@@ -229,7 +237,7 @@
 ) -> bool:
     counts: dict[int, int] = {}
     chosen: list[Machine] = []
-    urn = Urn(job, base)
+    urn = Urn(ledger, job, base)
     for _ in range(job.spec.pieces):
         machine = urn.draw(rng)
         if machine is None:
@@ -284,7 +292,7 @@
         if (
             job.over or job.failed or now < job.wait_until or not job.waiting()
             or not machine.fits(job.need) or not allows(job, machine)
-            or not open_to(job, machine, now) or job.uid in ledger.ghost_jobs
+            or not open_to(ledger, job, machine, now) or job.uid in ledger.ghost_jobs
             or not ledger.may_place(job)
         ):
             continue
@@ -301,18 +309,28 @@
     report_s = ledger.limits.workers.report_s
     ledger.line = queue(ledger, within, now)
     ledger.line_least = min((job.need[0] for job in ledger.line), default=math.inf)
+    reserved = [(0.0, 0.0) for _ in ledger.caps]
     for job in ledger.line:
+        job.behind = reserved[job.crew]
+        short = quota_left(ledger, job) < (job.spec.pieces if job.gang else 1)
+        if job.short and not short:
+            job.pause_until = 0.0
+        job.short = short
         # The pause is for draws that only freed room could change, which ``offer`` sees to.
-        if now < job.wait_until or now < job.pause_until:
-            continue
-        attempt(ledger, job, rng, now)
-        if job.waiting() == 0:
-            continue
-        if quota_left(ledger, job) < (job.spec.pieces if job.gang else 1):
-            log.debug("job %s waits: limit of team %s", job.uid, job.spec.crew)
-        else:
+        if now >= max(job.wait_until, job.pause_until):
+            if not short:
+                attempt(ledger, job, rng, now)
+                if job.waiting() == 0:
+                    continue
+                job.short = quota_left(ledger, job) < (job.spec.pieces if job.gang else 1)
+            if job.short:
+                log.debug("job %s waits: limit of team %s", job.uid, job.spec.crew)
+            else:
+                log.debug("job %s waits: no candidate for %d tasks", job.uid, job.waiting())
             starved.append(job)
-            log.debug("job %s waits: no candidate for %d tasks", job.uid, job.waiting())
-        job.pause = min(job.pause * 2 or FIRST_PAUSE_S, report_s)
-        job.pause_until = now + job.pause
+            job.pause = min(job.pause * 2 or FIRST_PAUSE_S, report_s)
+            job.pause_until = now + job.pause
+        if order.reserving(ledger, job, now):
+            size = job.size()
+            reserved[job.crew] = (job.behind[0] + size[0], job.behind[1] + size[1])
     return starved
