--- a/src/salthead/coordination/ledger.py
+++ b/src/salthead/coordination/ledger.py
@@ -630,6 +630,7 @@
             # Its tasks may be those of long ago: an exit reaped since, a task that is elsewhere
             # now. A machine that comes up may enter the roster meanwhile.
             machine.seen = True
+            machine.endpoint = machine.endpoint or report.endpoint
             return []
         if report.tenure > machine.tenure and machine.tenure > 0:
             log.info("machine %s: session %d", machine.name, report.tenure)
--- a/src/salthead/coordination/order.py
+++ b/src/salthead/coordination/order.py
@@ -33,14 +33,15 @@
     return start_by == math.inf or now - job.submitted >= 0.5 * (start_by - job.submitted)
 
 
-def reserving(ledger: Ledger, job: Job, now: float) -> bool:
+def reserving(job: Job, now: float) -> bool:
     """Whether quota is kept for a gang that waits: others would take it piece by piece.
 
-    A gang that can't be placed for other reasons must not hold up its team for ever, so after
-    twice the time in which it should have begun it does so only every other while.
+    Kept quota stands empty, so it is not kept earlier than the bound on waiting asks. A gang that
+    can't be placed for other reasons must not hold up its team for ever, so after twice the time
+    in which it should have begun it does so only every other while.
     """
     age = now - job.submitted
-    return job.gang and due(ledger, job, now) and (
+    return job.gang and overdue(job, now) and (
         age < 2.0 * BEGIN_WITHIN_S or int(age / BEGIN_WITHIN_S) % 2 == 0)
 
 
--- a/src/salthead/coordination/preemption.py
+++ b/src/salthead/coordination/preemption.py
@@ -124,7 +124,7 @@
 
     The team's small tasks take each bit of quota that is freed, and a gang needs much at once.
     """
-    if not order.reserving(ledger, job, now) or not any(ledger.ranks[job.rank + 1:]):
+    if not job.gang or not order.due(ledger, job, now) or not any(ledger.ranks[job.rank + 1:]):
         return
     usage, most, size = ledger.usage[job.crew], ledger.caps[job.crew], job.size()
     lack = [usage[n] + job.behind[n] + size[n] - most[n] for n in range(2)]
--- a/tests/standins.py
+++ b/tests/standins.py
@@ -345,6 +345,7 @@
         self.broken: list[str] = []
         self.starts = 0
         self.trouble_until = 0.0  # when the last trouble was over
+        self.directs = self.direct_most = 0  # calls to machines at one time
         self.begun: dict[str, float] = {}  # when the first task of each job started
         self.pending: set[asyncio.Task[Any]] = set()
         for name in self.names:
@@ -416,6 +417,14 @@
         return await self.direct(target, body)
 
     async def direct(self, name: str, body: Any) -> Answer:
+        self.directs += 1
+        self.direct_most = max(self.direct_most, self.directs)
+        try:
+            return await self.carry_out(name, body)
+        finally:
+            self.directs -= 1
+
+    async def carry_out(self, name: str, body: Any) -> Answer:
         worker = self.cloud.hosts.get(name)
         if worker is None or not worker.up:
             raise Unanswered("no such machine")
