--- a/src/salthead/coordination/order.py
+++ b/src/salthead/coordination/order.py
@@ -12,7 +12,7 @@
 import heapq
 import math
 
-from salthead.coordination.ledger import Job, Ledger
+from salthead.coordination.ledger import EPS, Job, Ledger
 
 # The protocol: the largest jobs of a class, too, begin within four minutes.
 BEGIN_WITHIN_S = 240.0
@@ -67,6 +67,27 @@
     return best
 
 
+class Load:
+    """Work that is ahead, and the largest piece of it."""
+
+    def __init__(self, rate: float) -> None:
+        self.rate = rate
+        self.total = 0.0
+        self.largest: list[tuple[float, int]] = []  # negated work, and where in the rows
+
+    def add(self, at: int, work: float) -> None:
+        self.total += work
+        heapq.heappush(self.largest, (-work, at))
+
+    def pop(self, put_off: set[int]) -> tuple[int, float]:
+        """Take the largest away that has not been put off by another load's measure."""
+        while True:
+            work, at = heapq.heappop(self.largest)
+            if at not in put_off:
+                self.total += work
+                return at, -work
+
+
 def by_targets(ledger: Ledger, jobs: list[Job], rate: float, now: float) -> list[Job]:
     """One rank's jobs in the order in which they are served; ``rate`` is in CPUs."""
     rows: list[tuple[float, float, str, float, Job]] = []
@@ -81,20 +102,24 @@
     rows.sort(key=lambda row: row[:3])
     kept: list[tuple[float, float, str, float, Job]] = []
     behind: list[tuple[float, float, str, float, Job]] = []
-    most: list[tuple[float, int]] = []  # work of those kept, negated, and where in the rows
+    # What limits the work ahead is the fleet, and for each team also its own limit.
+    fleet_load = Load(rate)
+    loads = [Load(min(rate, most[0]) if most[0] > 0 else rate) for most in ledger.caps]
     put_off: set[int] = set()
-    total = 0.0
     for at, row in enumerate(rows):
         if row[0] == math.inf:
             put_off.add(at)
             continue
-        heapq.heappush(most, (-row[3], at))
-        total += row[3]
+        own = loads[row[4].crew]
+        own.add(at, row[3])
+        fleet_load.add(at, row[3])
         # The last of its tasks starts when all work ahead of it is done.
-        if now + total / max(rate, 1.0) > row[0]:
-            work, largest = heapq.heappop(most)
-            put_off.add(largest)
-            total += work
+        for load, other in ((own, fleet_load), (fleet_load, None)):
+            if load.total > EPS and now + load.total / max(load.rate, 1.0) > row[0]:
+                largest, work = load.pop(put_off)
+                put_off.add(largest)
+                other = other or loads[rows[largest][4].crew]
+                other.total -= work
     for at, row in enumerate(rows):
         (behind if at in put_off else kept).append(row)
     behind.sort(key=lambda row: row[1:3])
--- a/src/salthead/coordination/placement.py
+++ b/src/salthead/coordination/placement.py
@@ -332,7 +332,8 @@
             starved.append(job)
             job.pause = min(job.pause * 2 or FIRST_PAUSE_S, report_s)
             job.pause_until = now + job.pause
-        if order.reserving(job, now):
+        # For one gang at a time: what is kept for several at once keeps everybody waiting.
+        if not any(reserved[job.crew]) and order.reserving(job, now):
             size = job.size()
             reserved[job.crew] = (job.behind[0] + size[0], job.behind[1] + size[1])
     return starved
