--- a/src/salthead/coordination/placement.py
+++ b/src/salthead/coordination/placement.py
@@ -33,18 +33,27 @@
 
 
 def queue(ledger: Ledger, within: set[str], now: float) -> list[Job]:
-    """Jobs with tasks that have no machine: guarantees first, then urgency, then targets."""
+    """Jobs with tasks that have no machine: guarantees first, then urgency, then targets.
+
+    Of those within guarantees, the ones that can still begin as fast as the users aim for come
+    first: a large one that has missed that would make all that come after it miss it as well.
+    """
     waiting = [
         job for job in ledger.jobs.values()
         if not job.failed and job.uid not in ledger.ghost_jobs and job.waiting() > 0
         and ledger.may_place(job)
     ]
-    first = [job for job in waiting if job.uid in within]
+    at_once_s = max((aim.within_s for aim in ledger.limits.objectives
+                     if aim.kind == "guarantee"), default=0.0)
+    first = [job for job in waiting if job.uid in within and now - job.submitted <= at_once_s]
     first.sort(key=lambda job: (job.rank, job.spec.at, job.uid))
+    young = {job.uid for job in first}
     rate = order.rate_of(ledger)
-    for rank in range(len(names.URGENCIES)):
-        same = [job for job in waiting if job.rank == rank and job.uid not in within]
-        first += order.by_targets(ledger, same, rate, now)
+    for guaranteed in (True, False):
+        for rank in range(len(names.URGENCIES)):
+            same = [job for job in waiting if job.rank == rank and job.uid not in young
+                    and (job.uid in within) == guaranteed]
+            first += order.by_targets(ledger, same, rate, now)
     return first
 
 
--- a/tests/test_ledger.py
+++ b/tests/test_ledger.py
@@ -5,7 +5,7 @@
 import pytest
 
 from helpers import job, ledger, machine, ready, report, spec, verbs
-from salthead.coordination import placement
+from salthead.coordination import fleet, placement
 from salthead.coordination.lease import surely_over
 from salthead.coordination.ledger import LOST, UP
 from salthead.protocol.messages import Submission
@@ -326,3 +326,123 @@
         led.bind(good, 0, led.machines["m0"], 90 + tally, 0.0)
         led.on_report(report("m0", tally, (f"{uid}/0", 90 + tally, "exited", "error")), 2.0)
     assert [m.name for m in led.machines.values() if m.condemned] == ["m0"]
+
+
+class TestCopies:
+    """Copies of reports come late: seconds to well over a lease."""
+
+    @pytest.mark.parametrize("late", [2.0, 30.0])
+    def test_a_copy_of_an_earlier_term_shows_nothing(self, late: float) -> None:
+        led = ledger()
+        led.add_machine("m1", "small", "north", False, 0.0, rostered=True)
+        one = job(led, pieces=1)
+        copy = report("m1", 400, ("req-1/0", 3, "running"), baton=6)
+        assert led.on_report(copy, late) == []
+        assert not one.bindings and not led.machines["m1"].joined
+        assert led.machines["m1"].heard < 0, "no sign of life"
+
+    def test_a_copy_neither_revives_a_returned_machine_nor_hides_it(self) -> None:
+        led = ready()
+        machine(led, "m1")
+        led.machine_gone(led.machines["m1"], 1.0)
+        assert led.on_report(report("m1", 1), 30.0) is None
+        # The next leader does not know that it was there.
+        after = ledger(token=8)
+        copy = report("m1", 1, ("req-1/0", 3, "running"), baton=7)
+        assert after.on_report(copy, 40.0) == [] and not after.machines
+        # One that is up and was not known hears the token and reports under it.
+        assert after.on_report(report("m2", 1, baton=0), 41.0) == [] and not after.machines
+        assert after.on_report(report("m2", 2, baton=8), 42.0) == []
+        assert after.machines["m2"].phase == UP
+
+    def test_a_copy_moves_the_bound_on_a_lease_late_and_nothing_else(self) -> None:
+        led = ready()
+        machine(led, "m1")
+        one = job(led, pieces=1)
+        place(led)
+        attempt = one.bindings[0].attempt
+        led.on_report(report("m1", 5, ("req-1/0", attempt, "running")), 1.0)
+        assert led.on_report(report("m1", 2), 9.0) == []
+        assert one.bindings[0].phase == "running" and led.machines["m1"].heard == 1.0
+        # It may have been a report that a direct answer overtook: its answer renews the lease.
+        led.tick(surely_over(1.0, led.limits.workers.lease_s) + 0.1)
+        assert one.bindings
+        led.tick(surely_over(9.0, led.limits.workers.lease_s) + 0.1)
+        assert not one.bindings
+
+    def test_a_copy_from_before_a_reap_starts_and_ends_nothing(self) -> None:
+        led = ready()
+        machine(led, "m1")
+        one = job(led, pieces=1)
+        place(led)
+        attempt = one.bindings[0].attempt
+        led.on_report(report("m1", 2, ("req-1/0", attempt, "running")), 1.0)
+        gone = report("m1", 3, ("req-1/0", attempt, "exited", "error"))
+        assert verbs(led.on_report(gone, 2.0)) == [("reap", "req-1/0")]
+        assert led.on_report(gone, 20.0) == []
+        assert led.machines["m1"].error_jobs == {"req-1"}
+
+    def test_leases_are_counted_from_the_answers_given_before_the_roster_was_read(self) -> None:
+        led = ledger()
+        led.loaded = False
+        assert led.on_report(report("m1", 9, baton=6), 5.0) == [], "this renews its lease"
+        led.add_machine("m1", "small", "north", False, 6.0, rostered=True)
+        led.leases_from, led.loaded = 6.0, True
+        led.tick(surely_over(5.0, led.limits.workers.lease_s))
+        assert led.machines["m1"].phase == UP and not led.ready
+
+
+class TestOneWay:
+    """A machine's reports arrive, but answers and commands don't reach it."""
+
+    def deaf(self) -> tuple:
+        led = ready()
+        machine(led, "m1")
+        one = job(led, pieces=1)
+        place(led)
+        for tally in range(2, 6):
+            led.on_report(report("m1", tally), 2.0 * tally)
+        return led, led.machines["m1"], one
+
+    def test_starts_that_never_show_take_a_machine_out_of_the_filter(self) -> None:
+        led, found, one = self.deaf()
+        assert found.deaf_since is not None and not one.bindings, "the task may go elsewhere"
+        place(led, 11.0)
+        assert not one.bindings
+        machine(led, "m2", 11.0)
+        place(led, 14.0)
+        assert [b.machine.name for b in one.bindings.values()] == ["m2"]
+
+    def test_one_that_heals_is_used_again_after_a_pause_that_grows(self) -> None:
+        led, found, one = self.deaf()
+        led.heard_us(found, 11.0)
+        pause = found.trusted_at - 11.0
+        assert pause > 0 and not found.hears(11.0) and found.hears(found.trusted_at)
+        found.deaf_since, found.deaf_times = 40.0, 2
+        led.heard_us(found, 41.0)
+        assert found.trusted_at - 41.0 == 2 * pause
+
+    def test_one_that_does_not_is_replaced(self) -> None:
+        led, found, one = self.deaf()
+        plan = fleet.plan(led, 11.0, fleet.Refusals(), {})
+        assert sum(plan.hires.values()) == 1 and not plan.returns
+        late = found.deaf_since + led.limits.workers.lease_s + 1.0
+        assert found in fleet.plan(led, late, fleet.Refusals(), {}).returns
+
+    @pytest.mark.parametrize(("heard", "deaf"), [(9.0, True), (1.0, False)])
+    def test_a_session_that_rises_though_it_was_answered(self, heard: float, deaf: bool) -> None:
+        # One that hung for its whole lease begins a new session as well, and hears well.
+        led = ready()
+        machine(led, "m1", heard)
+        led.on_report(report("m1", 1, tenure=2), 13.0)
+        assert (led.machines["m1"].deaf_since is not None) == deaf
+
+    def test_one_that_never_hears_a_new_leader_does_not_hold_up_the_takeover(self) -> None:
+        led = ledger()
+        led.add_machine("m1", "small", "north", False, 0.0, rostered=True)
+        lease_s, now, tally = led.limits.workers.lease_s, 0.0, 1
+        while not led.ready and now < 10 * lease_s:
+            now, tally = now + 2.0, tally + 1
+            led.on_report(report("m1", tally, baton=6), now)
+            led.tick(now)
+        assert led.ready and now < 3 * lease_s and led.machines["m1"].phase == LOST
--- a/tests/test_order.py
+++ b/tests/test_order.py
@@ -57,3 +57,27 @@
     assert estimates.run_s("other", 20.0) == 20.0
     estimates.learn("b", 0.0, 5.0)  # an owner without an estimate teaches nothing
     assert estimates.run_s("b", 0.0) == 1.0
+
+
+def test_the_largest_go_behind_by_their_own_teams_limit() -> None:
+    # Seen on steady, prairie-ledger-grown: the fleet had room, the team's limit had not, and
+    # large gangs took all of it for longer than the small ones could wait.
+    led = ready(objectives=AIMS)
+    led.add_machine("m", "small", "north", False, 0.0).cap = (1000.0, 0.0, 9999.0)
+    job(led, uid="req-1", crew="red", pieces=40, due_s=70.0, at=0.0, guess_s=20.0)
+    job(led, uid="req-2", crew="red", pieces=4, due_s=80.0, at=0.0, guess_s=20.0)
+    job(led, uid="req-3", crew="blue", pieces=30, due_s=60.0, at=0.0, guess_s=20.0)
+    assert served(led) == ["req-3", "req-2", "req-1"]
+
+
+def test_whoever_waited_for_long_without_beginning_comes_first() -> None:
+    # The largest go behind, but the users' bound holds for them as well.
+    led = ready(objectives=AIMS)
+    led.add_machine("m", "small", "north", False, 0.0).cap = (8.0, 0.0, 999.0)
+    job(led, uid="req-1", pieces=200, due_s=30.0, at=0.0, guess_s=20.0)
+    begun = job(led, uid="req-2", pieces=200, due_s=30.0, at=0.0, guess_s=20.0)
+    begun.first_start = 1.0
+    job(led, uid="req-3", pieces=2, due_s=400.0, at=0.0, guess_s=20.0)
+    half = 0.5 * order.BEGIN_WITHIN_S
+    assert served(led, half - 1.0) == ["req-3", "req-1", "req-2"]
+    assert served(led, half + 1.0) == ["req-1", "req-3", "req-2"]
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -5,8 +5,8 @@
 import pytest
 
 from helpers import job, machine, ready, report, verbs
-from salthead.coordination import fleet, gangs, placement, preemption
-from salthead.coordination.ledger import Ledger
+from salthead.coordination import fleet, gangs, order, placement, preemption
+from salthead.coordination.ledger import Job, Ledger
 
 
 def place(led: Ledger, now: float = 0.0, seed: int = 1):
@@ -446,3 +446,81 @@
                          warning_s=left), 1.0)
     preemption.drain(led, 1.0)
     assert (one.bindings[0].stop is not None) == stopped
+
+
+class TestQuotaForGangs:
+    """A team's limit frees bit by bit, and small tasks take each bit before a gang can start."""
+
+    def world(self, age: float) -> tuple[Ledger, Job, Job]:
+        led = ready()
+        for n in range(4):
+            machine(led, f"m{n}", now=age)
+        running = job(led, uid="req-1", crew="red", pieces=3, vcpus=6.0, urgency="idle", at=0.0)
+        place(led, age)
+        gang = job(led, uid="req-2", crew="red", shape="gang", pieces=2, vcpus=8.0, at=0.0)
+        small = job(led, uid="req-3", crew="red", pieces=3, vcpus=2.0, urgency="idle", at=0.0)
+        assert len(running.bindings) == 3
+        return led, gang, small
+
+    @pytest.mark.parametrize(("age", "taken"), [(10.0, 3), (130.0, 0)])
+    def test_it_is_kept_for_a_gang_that_is_overdue(self, age: float, taken: int) -> None:
+        led, gang, small = self.world(age)
+        led.machines["m3"].used = [0.0, 0.0, 0.0]
+        place(led, age)
+        assert not gang.bindings and len(small.bindings) == taken
+
+    def test_it_is_not_kept_for_ever(self) -> None:
+        led, gang, small = self.world(10.0)
+        assert order.reserving(gang, 2 * order.BEGIN_WITHIN_S - 1.0)
+        assert not order.reserving(gang, 3 * order.BEGIN_WITHIN_S + 1.0)
+
+    def test_lower_work_of_the_team_makes_way_once_the_gang_is_due(self) -> None:
+        led, gang, _ = self.world(130.0)
+        starved = place(led, 130.0)
+        assert gang in starved and gang.short
+        preemption.preempt(led, starved, 130.0)
+        # 18 of 24 CPUs are used, the gang takes 16: two tasks of 6 have to go
+        stops = [b for b in led.jobs["req-1"].bindings.values() if b.stop is not None]
+        assert len(stops) == 2
+
+
+class TestScarceTypes:
+    def crowd(self) -> tuple[Ledger, Job]:
+        led = ready()
+        whole = job(led, uid="req-1", shape="gang", pieces=2, vcpus=30.0, ram_gb=100.0)
+        for n in range(2):
+            machine(led, f"big{n}", build="big")
+            machine(led, f"small{n}")
+        return led, whole
+
+    def test_small_tasks_go_elsewhere_first(self) -> None:
+        # Seen on every day of moana-buoys-grown: small tasks lay scattered over the only type
+        # that fits a gang's members, which then waited until whole machines had drained.
+        led, whole = self.crowd()
+        led.end_job(whole, "aborted")
+        small = job(led, uid="req-2", pieces=8, vcpus=2.0)
+        place(led)
+        assert {b.machine.name for b in small.bindings.values()} == {"small0", "small1"}
+        more = job(led, uid="req-3", pieces=4, vcpus=2.0)
+        place(led)
+        assert len(more.bindings) == 4, "nobody who needs them waits"
+
+    def test_small_tasks_stay_away_while_a_gang_waits_unless_time_presses(self) -> None:
+        led, whole = self.crowd()
+        led.machines["big0"].condemned = "x"
+        small = job(led, uid="req-2", pieces=10, vcpus=2.0, due_s=60.0, at=0.0)
+        place(led, 1.0)
+        assert not whole.bindings and len(small.bindings) == 8
+        place(led, 5.9)
+        assert len(small.bindings) == 8
+        for name in led.machines:
+            led.machines[name].heard = 25.0
+        place(led, 25.0)
+        assert len(small.bindings) == 10
+
+    def test_they_are_hired_last_for_who_can_do_without(self) -> None:
+        led, _ = self.crowd()
+        small = job(led, uid="req-2", pieces=8, vcpus=2.0, borrowed=True)
+        kinds = fleet.kinds_for(led, small, fleet.Refusals(), 0.0)
+        builds = [led.builds[kind[0]] for kind in kinds]
+        assert builds.index("big") == builds.count("small")
