--- a/src/salthead/coordination/order.py
+++ b/src/salthead/coordination/order.py
@@ -45,6 +45,12 @@
         age < 2.0 * BEGIN_WITHIN_S or int(age / BEGIN_WITHIN_S) % 2 == 0)
 
 
+def pressing(job: Job, now: float) -> bool:
+    """Whether quota is kept from small tasks, too. They take little of it, and many of their jobs
+    are late for each gang that begins sooner, so this is the last resort."""
+    return reserving(job, now) and now - job.submitted > 0.75 * BEGIN_WITHIN_S
+
+
 def target(ledger: Ledger, job: Job, run_s: float, now: float) -> float:
     """The latest time at which the job may start and still meet its next target; inf if none."""
     best = math.inf
--- a/src/salthead/coordination/placement.py
+++ b/src/salthead/coordination/placement.py
@@ -320,9 +320,12 @@
     ledger.line = queue(ledger, within, now)
     ledger.line_least = min((job.need[0] for job in ledger.line), default=math.inf)
     ledger.choosy_wait = any(job.choosy for job in ledger.line)
-    reserved = [(0.0, 0.0) for _ in ledger.caps]
+    reserved: list[Job | None] = [None for _ in ledger.caps]
     for job in ledger.line:
-        job.behind = reserved[job.crew]
+        ahead = reserved[job.crew]
+        job.behind = (0.0, 0.0)
+        if ahead is not None and (job.gang or order.pressing(ahead, now)):
+            job.behind = ahead.size()[:2]
         short = quota_left(ledger, job) < (job.spec.pieces if job.gang else 1)
         if job.short and not short:
             job.pause_until = 0.0
@@ -342,7 +345,6 @@
             job.pause = min(job.pause * 2 or FIRST_PAUSE_S, report_s)
             job.pause_until = now + job.pause
         # For one gang at a time: what is kept for several at once keeps everybody waiting.
-        if not any(reserved[job.crew]) and order.reserving(job, now):
-            size = job.size()
-            reserved[job.crew] = (job.behind[0] + size[0], job.behind[1] + size[1])
+        if ahead is None and order.reserving(job, now):
+            reserved[job.crew] = job
     return starved
--- a/src/salthead/coordination/preemption.py
+++ b/src/salthead/coordination/preemption.py
@@ -5,7 +5,7 @@
 import heapq
 import logging
 
-from salthead.coordination import order, placement
+from salthead.coordination import placement
 from salthead.coordination.ledger import UP, Binding, Job, Ledger, Machine, Vec
 
 log = logging.getLogger("salthead.preemption")
@@ -119,34 +119,6 @@
     return len(best[1])
 
 
-def make_quota(ledger: Ledger, job: Job, now: float) -> None:
-    """Stop work of a lower urgency of the same team for a gang that its limit alone holds up.
-
-    The team's small tasks take each bit of quota that is freed, and a gang needs much at once.
-    """
-    if not job.gang or not order.due(ledger, job, now) or not any(ledger.ranks[job.rank + 1:]):
-        return
-    usage, most, size = ledger.usage[job.crew], ledger.caps[job.crew], job.size()
-    lack = [usage[n] + job.behind[n] + size[n] - most[n] for n in range(2)]
-    options = []
-    for other in ledger.jobs.values():
-        if other.crew != job.crew or other.rank <= job.rank or other.complete:
-            continue
-        for binding in other.bindings.values():
-            if binding.stop is not None:
-                for n in range(2):
-                    lack[n] -= binding.need[n]
-            else:
-                options.append((lost_work(binding, now, 0.0), binding))
-    options.sort(key=lambda pair: pair[0])
-    for _, binding in options:
-        if lack[0] <= 0 and lack[1] <= 0:
-            return
-        for n in range(2):
-            lack[n] -= binding.need[n]
-        stop(ledger, binding, f"quota for {job.uid}")
-
-
 def _room_in(
     ledger: Ledger, job: Job, base: list[Machine], wanted: int, within: set[str], now: float,
 ) -> tuple[float, list[tuple[Machine, list[Binding]]]] | None:
@@ -221,7 +193,6 @@
     within = placement.entitled(ledger)
     for job in starved:
         if job.short:
-            make_quota(ledger, job, now)
             continue
         if ledger.kept_for(job.uid, now):
             continue  # room is being made already
