--- a/src/salthead/coordination/ledger.py
+++ b/src/salthead/coordination/ledger.py
@@ -173,6 +173,7 @@
     pause_until: float = 0.0  # after a draw without candidates
     pause: float = 0.0
     behind: tuple[float, float] = (0.0, 0.0)  # quota kept for gangs before it in line
+    reserved_at: float | None = None  # since when its team's quota is kept for it
     short: bool = False  # of quota, at the last pass
     error_machines: set[str] = field(default_factory=set)
     first_start: float | None = None
@@ -260,6 +261,7 @@
         self.line: list[Job] = []
         self.line_least = 0.0  # CPUs of the smallest task in line
         self.usage = [[0.0, 0.0] for _ in limits.teams]
+        self.rest_until = [0.0 for _ in limits.teams]  # until then no quota is kept for gangs
         self.jobs: dict[str, Job] = {}
         self.machines: dict[str, Machine] = {}
         self.loaded = False
--- a/src/salthead/coordination/placement.py
+++ b/src/salthead/coordination/placement.py
@@ -284,6 +284,9 @@
         log.log(level, "placed %d of %s, %d left", bound, job.uid, job.waiting())
         if job.waiting() == 0:
             ledger.unkeep(job.uid)
+            if job.reserved_at is not None:
+                ledger.rest_until[job.crew] = now + (now - job.reserved_at)
+                job.reserved_at = None
             judge(ledger, job, now)
     return bound
 
@@ -354,7 +357,10 @@
             starved.append(job)
             job.pause = min(job.pause * 2 or FIRST_PAUSE_S, report_s)
             job.pause_until = now + job.pause
-        # For one gang at a time: what is kept for several at once keeps everybody waiting.
-        if ahead is None and order.reserving(job, now):
+        # For one gang at a time, and then as long for nobody: else all that an overloaded team
+        # frees goes to a few of its largest jobs, and each of them makes many others late.
+        if ahead is None and order.reserving(job, now) and now >= ledger.rest_until[job.crew]:
             reserved[job.crew] = job
+            if job.reserved_at is None:
+                job.reserved_at = now
     return starved
