A node behind a cut between zones keeps its zone's leases, allowed by the leader

Change: the node asks the leader through the state service, which nobody is cut from; what is allowed ends by itself, and the leader counts no lease of the zone from before.

--- a/src/salthead/bookkeeping/records.py
+++ b/src/salthead/bookkeeping/records.py
@@ -3,7 +3,9 @@
 ``job/ID`` holds a job that is not over, ``over/ID`` one that is, with its outcome; a job moves
 from one to the other in one transaction, so a reader who looks at ``job`` and then at ``over``
 misses it in neither. ``done/N`` are pages of done tasks: by stretch of a job, as ranges.
-``roster/N`` are pages of machines. ``lead`` is the leader's key, ``token`` counts its terms.
+``roster/N`` are pages of machines. ``keep/MEMBER`` is a node's wish to keep its zone's leases for
+a leader that can't reach the zone, ``kept/MEMBER`` the leader's permission. ``lead`` is the
+leader's key, ``token`` counts its terms.
 """
 
 from __future__ import annotations
@@ -18,6 +20,8 @@
 LEAD = "lead"
 TOKEN = "token"
 FLAVORS = "flavors"
+KEEP = "keep/"
+KEPT = "kept/"
 JOBS = "job/"
 OVER = "over/"
 PARTS = "done/"
--- a/src/salthead/coordination/fleet.py
+++ b/src/salthead/coordination/fleet.py
@@ -176,6 +176,8 @@
             continue
         if machine.deaf_since is not None:
             continue  # so that another is hired in its place
+        if machine.joined and now - machine.heard > ledger.limits.workers.lease_s:
+            continue  # behind a cut, its lease kept by another node: no place to start anything
         if machine.phase == BOOTING:
             slots.append(Slot(machine.kind, list(machine.cap), machine))
         elif machine.phase == UP:
--- /dev/null
+++ b/src/salthead/coordination/keeping.py
@@ -0,0 +1,68 @@
+"""Leases of a zone that the leader can't reach, kept alive by a node that is in there.
+
+A cut between zones lasts longer than a worker's lease, and all that runs beyond it would be lost.
+The state service is cut from nobody, so a node behind the cut asks the leader through it, and the
+leader allows it, to answer that zone's reports in its name: with its token and without orders.
+What is allowed ends by itself after a time that both sides know. The leader counts no lease of
+the zone from before that time, and it stops allowing when something in the zone has to end.
+"""
+
+from __future__ import annotations
+
+import math
+from typing import Any
+
+from salthead.coordination.lease import DRIFT, valid_until
+
+
+def counted_until(seen: float, ttl: float) -> float:
+    """Until when a worker may be answered on a request that the leader saw at ``seen``.
+
+    The one who asks counts from before it asked, and stops early; this errs late.
+    """
+    return seen + ttl * (1.0 + DRIFT) + 0.1
+
+
+class Keeper:
+    """The node's side: when it may answer in the leader's name."""
+
+    # A worker that comes back within this long after it was sent to the leader can't reach it.
+    BACK_S = 15.0
+
+    def __init__(self, ttl: float) -> None:
+        self.ttl = ttl
+        self.token = 0
+        self.nonce = ""
+        self.asked = -math.inf
+        self.until = -math.inf
+        self.sent_on: dict[str, float] = {}  # workers, and when they were sent to the leader
+
+    def ask(self, token: int, nonce: str, area: str, now: float) -> dict[str, Any]:
+        """What to write, before it is written."""
+        if token != self.token:
+            self.stop()
+        self.token, self.nonce, self.asked = token, nonce, now
+        return {"token": token, "nonce": nonce, "area": area}
+
+    def allowed(self, value: Any) -> bool:
+        """What the leader wrote in return: only an answer to the latest question counts."""
+        answers = type(value) is dict and bool(self.nonce) and (
+            value.get("token") == self.token and value.get("nonce") == self.nonce)
+        if answers:
+            self.until = max(self.until, valid_until(self.asked, self.ttl))
+        return answers
+
+    def valid(self, token: int, now: float) -> bool:
+        return token == self.token and now < self.until
+
+    def stop(self) -> None:
+        self.nonce = ""
+        self.until = -math.inf
+
+    def came_back(self, worker: str, now: float) -> bool:
+        """Note that a worker is here; whether it had been sent to the leader shortly before."""
+        before = self.sent_on.get(worker, -math.inf)
+        if len(self.sent_on) > 5000:
+            self.sent_on = {w: at for w, at in self.sent_on.items() if now - at < self.BACK_S}
+        self.sent_on[worker] = now
+        return now - before < self.BACK_S
--- a/src/salthead/coordination/ledger.py
+++ b/src/salthead/coordination/ledger.py
@@ -235,6 +235,8 @@
         # An earlier leader may have answered workers until it lost the lead, and this one answers
         # them before it has read the roster: no lease is counted from before this.
         self.leases_from = now
+        # Zones whose workers another node may be answering for this leader, and until when.
+        self.kept_until: dict[int, float] = {}
         self.counter = 0
         # Submission times are kept as times of day; here all else is in steady time.
         self.wall_ahead = 0.0 if wall is None else wall - now
@@ -533,7 +535,8 @@
         lease_s = self.limits.workers.lease_s
         for machine in self.machines.values():
             if machine.phase == UP and now > surely_over(
-                max(machine.answered, self.leases_from), lease_s
+                max(machine.answered, self.leases_from,
+                    self.kept_until.get(machine.zone, -math.inf)), lease_s
             ):
                 # Whatever it still reports of this session is late news: a worker that
                 # goes on does so with the next session and no tasks.
@@ -552,6 +555,20 @@
                          now - self.took_over, len(self.machines), len(self.jobs))
                 self.on_change()
 
+    def keep_zone(self, area: str, until: float) -> bool:
+        """Count no lease of a zone from before ``until``; False if its tasks may not live on.
+
+        A cancelled job's tasks have to be gone in time, and nothing but the end of their leases
+        stops those behind a cut.
+        """
+        zone = self.zones.get(area)
+        if zone is None:
+            return False
+        self.kept_until[zone] = max(until, self.kept_until.get(zone, -math.inf))
+        return not any(
+            job.over == names.ABORTED and binding.machine.zone == zone
+            for job in self.jobs.values() if job.over for binding in job.bindings.values())
+
     def _end_partial_gangs(self, now: float) -> None:
         """Gangs of which an earlier leader had started only a part when it ended.
 
--- a/src/salthead/service.py
+++ b/src/salthead/service.py
@@ -13,8 +13,9 @@
 
 from salthead import metrics
 from salthead.bookkeeping import records
-from salthead.bookkeeping.store import Conflict, NoLease, Refused, Store, put
+from salthead.bookkeeping.store import Conflict, NoLease, Refused, Store, drop, put
 from salthead.coordination import lease
+from salthead.coordination.keeping import Keeper
 from salthead.protocol import names
 from salthead.protocol.messages import (
     Flavor,
@@ -65,6 +66,8 @@
         self.workers = dial("", 16)
         self.flavors: dict[str, Flavor] = {}
         self.leader: str | None = None  # the member that leads, as last read
+        self.leader_token = 0
+        self.keeper = Keeper(lease.leader_ttl(self.limits.workers.lease_s))
         self.term: Term | None = None
         self.abstention = lease.Abstention(
             lease.leader_ttl(self.limits.workers.lease_s), self.now())
@@ -107,6 +110,7 @@
             group.create_task(self.flavor_loop())
             group.create_task(self.lag_loop())
             group.create_task(self.reach_loop())
+            group.create_task(self.keep_loop())
 
     async def lag_loop(self) -> None:
         """How late this process's own timers are: the sign that it is asked too much."""
@@ -130,6 +134,59 @@
         await peer.call("POST", names.PEER_KNOCKS, timeout=timeout)
         self.reached = self.now()
 
+    async def keep_loop(self) -> None:
+        """Behind a cut from the leader, with the state service in reach: keep workers' leases."""
+        ttl = self.keeper.ttl
+        key, answer = records.KEEP + self.settings.member, records.KEPT + self.settings.member
+        written = True  # an earlier process of this member may have left its wish behind
+        missed = 0
+        while True:
+            await self.rest(ttl / 8.0)
+            peer = self.peers.get(self.leader or "")
+            if self.term is not None or peer is None:
+                missed = 0
+            else:
+                try:
+                    await peer.call("POST", names.PEER_KNOCKS, timeout=ttl / 8.0)
+                    missed = 0
+                except Unanswered:
+                    missed += 1
+            try:
+                if missed >= 2:
+                    wish = self.keeper.ask(
+                        self.leader_token, uuid.uuid4().hex[:12], self.settings.area, self.now())
+                    written = True
+                    await self.store.txn({}, [put(key, wish)], urgent=True)
+                    for _ in range(4):
+                        await self.rest(ttl / 24.0)
+                        row = await self.store.get(answer, urgent=True)
+                        if row is not None and self.keeper.allowed(row[0]):
+                            break
+                elif written:
+                    self.keeper.stop()
+                    row = await self.store.get(key, urgent=True)
+                    if row is not None:
+                        # On condition of its stamp: carried out late, it must not take away a
+                        # later wish, by which the next leader knows of what was allowed.
+                        await self.store.txn({key: row[1]}, [drop(key)], urgent=True)
+                    written = False
+            except TROUBLES as error:
+                self.note("keep", error)
+
+    def keeps(self, report: Report) -> bool:
+        """Whether to answer a worker in the name of a leader that it can't reach."""
+        now = self.now()
+        back = self.keeper.came_back(report.saltlick, now)
+        return (
+            # A worker may be here by chance. A second one, or one that was sent to the leader and is
+            # here again, can't reach it, and their leases may not last for another round.
+            (back or self.knocked() > 0)
+            and report.paddock == self.settings.area
+            and report.baton <= self.leader_token
+            and self.leader not in (None, self.settings.member)
+            and self.keeper.valid(self.leader_token, now)
+        )
+
     def cut_off(self) -> bool:
         """Whether this node lost the state service and all others, though workers and users may
         reach it: what it knows of the lead is old, and it can decide nothing."""
@@ -194,6 +251,7 @@
                     continue
                 if row and not (mine and holder.get("run") != self.run_id):
                     self.leader = holder.get("member")
+                    self.leader_token = int(holder.get("token", 0))
                     await self.store.changes(records.LEAD, stamp, 8.0)
                     continue
                 # No leader, or a process of this very member that has ended: its key can be
@@ -278,10 +336,13 @@
         self.knocks = {who: at for who, at in self.knocks.items() if at >= since}
         return len(self.knocks)
 
-    def on_report(self, report: Report) -> tuple[int, dict[str, Any]]:
+    def on_report(self, report: Report, who: str = "") -> tuple[int, dict[str, Any]]:
         term = self.leading()
         if term is None:
-            return self.redirect(report.saltlick)
+            if self.keeps(report):
+                self.knocks[who or report.saltlick] = self.now()
+                return 200, {"baton": self.leader_token, "orders": []}
+            return self.redirect(who or report.saltlick)
         orders = term.on_report(report)
         if orders is None:
             return 503, {"error": "not for this report"}
--- a/src/salthead/term.py
+++ b/src/salthead/term.py
@@ -23,6 +23,7 @@
     put,
 )
 from salthead.coordination import fleet, gangs, placement, preemption
+from salthead.coordination.keeping import counted_until
 from salthead.coordination.lease import LeaseClock, promise_s
 from salthead.coordination.ledger import BOOTING, MAX_ORDERS, UP, Job, Ledger, Machine
 from salthead.protocol import names
@@ -138,7 +139,8 @@
                 await self.node.rest(0.3)
         self.spawn(self.join_all(self.ledger.unheard()))
         loops = [self.watch_loop(), self.decide_loop(), self.save_loop(), self.roster_loop(),
-                 self.list_loop(), self.fleet_loop(), self.stranger_loop(), self.deaf_loop()]
+                 self.list_loop(), self.fleet_loop(), self.stranger_loop(), self.deaf_loop(),
+                 self.keep_loop()]
         async with asyncio.TaskGroup() as group:
             for loop in loops:
                 group.create_task(loop)
@@ -224,12 +226,14 @@
 
     async def txn(
         self, when: dict[str, int], apply: list[dict[str, Any]], bulk: bool = False,
+        urgent: bool = False,
     ) -> int:
         """A write that only takes effect while this term leads."""
         if not self.valid():
             raise Unanswered("lease not certain")
         try:
-            return await self.store.txn({records.LEAD: self.stamp} | when, apply, bulk=bulk)
+            return await self.store.txn(
+                {records.LEAD: self.stamp} | when, apply, bulk=bulk, urgent=urgent)
         except Conflict as error:
             if records.LEAD in error.failed:
                 self.ledger.deposed_by = max(self.ledger.deposed_by, self.token + 1)
@@ -264,7 +268,11 @@
             for name, (build, zone, borrowed, endpoint) in value.items():
                 machine = ledger.add_machine(name, build, zone, bool(borrowed), now, rostered=True)
                 machine.endpoint = machine.endpoint or str(endpoint or "")
+        # Another node may have been allowed by the last leader to answer workers for a while.
+        keeps, _ = await self.store.rows(records.KEEP)
         ledger.leases_from = self.now()
+        if keeps:
+            ledger.leases_from = counted_until(self.now(), self.clock.ttl)
         ledger.loaded = True
         log.info("loaded %d jobs, %d machines", len(ledger.jobs), len(ledger.machines))
 
@@ -302,6 +310,32 @@
                 self.node.note("job watch", error)
                 await self.node.rest(0.5)
 
+    async def keep_loop(self) -> None:
+        """Nodes that ask to answer their zone's workers for this leader, behind a cut."""
+        since = self.since
+        while True:
+            try:
+                events, since = await self.store.changes(records.KEEP, since, 10.0)
+                for event in events:
+                    value = event.get("value")
+                    if "set" in event and type(value) is dict and value.get("token") == self.token:
+                        await self.allow(event["set"].removeprefix(records.KEEP), value)
+            except Compacted:
+                since = self.since
+                await self.node.rest(0.5)
+            except (Conflict, *TROUBLES) as error:
+                self.node.note("keep", error)
+                await self.node.rest(0.5)
+
+    async def allow(self, member: str, value: dict[str, Any]) -> None:
+        if not self.ledger.ready:
+            return  # a zone that is kept would hold up the takeover for as long as the cut
+        # Counted before it is allowed, so that whatever becomes of the write errs late.
+        until = counted_until(self.now(), self.clock.ttl)
+        if self.ledger.keep_zone(str(value.get("area")), until):
+            await self.txn({}, [put(records.KEPT + member, {
+                "token": self.token, "nonce": value.get("nonce")})], urgent=True)
+
     async def stranger_loop(self) -> None:
         """Stray tasks of jobs that are over: whose quota do they use?"""
         while True:
--- a/src/salthead/transport/server.py
+++ b/src/salthead/transport/server.py
@@ -139,11 +139,7 @@
     def finish(self) -> None:
         node = self.node
         try:
-            if node.leading() is None:
-                # Nothing in the report matters to a node that can't act on it.
-                status, body = node.redirect(self.who)
-            else:
-                status, body = node.on_report(decode_report(b"".join(self.chunks)))
+            status, body = node.on_report(decode_report(b"".join(self.chunks)), self.who)
         except Malformed as error:
             node.note("report", error)
             status, body = 400, {"error": str(error)[:200]}
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -413,6 +413,8 @@
         for index, name in enumerate(("m0", "m1")):
             led.bind(one, index, led.machines[name], 9, 0.0)
         assert not self.plan(led, 1.0).returns
+        for name in ("m0", "m1", "cheap"):
+            led.machines[name].heard = 21.0
         assert not self.plan(led, 22.0).returns, "both still work"
         assert [m.name for m in led.machines.values() if m.cordoned] == ["m0", "m1"]
         led.on_report(report("m0", 2, ("req-1/0", 9, "exited", "done")), 23.0)
