--- a/tests/test_order.py
+++ b/tests/test_order.py
@@ -102,9 +102,9 @@
     # waited for 15 s and more, though each of them would have fitted into what was freed.
     led = ready(objectives=[{"kind": "guarantee", "within_s": 5.0, "share": 0.9}])
     job(led, uid="req-1", pieces=3, at=0.0, guess_s=20.0)
-    job(led, uid="req-2", pieces=90, at=8.0)
-    job(led, uid="req-3", pieces=2, at=9.0)
-    job(led, uid="req-4", pieces=2, at=7.0)
+    job(led, 8.0, uid="req-2", pieces=90, at=8.0)
+    job(led, 9.0, uid="req-3", pieces=2, at=9.0)
+    job(led, 7.0, uid="req-4", pieces=2, at=7.0)
     within = {"req-1", "req-2", "req-3"}
     order_then = [one.uid for one in placement.queue(led, within, 10.0)]
     assert order_then == ["req-3", "req-2", "req-1", "req-4"]
