--- a/src/salthead/coordination/estimates.py
+++ b/src/salthead/coordination/estimates.py
@@ -40,7 +40,8 @@
         self.share += self.WEIGHT * (float(in_time) - self.share)
 
     def spare(self) -> float:
-        """How far the aim is surpassed: 0 where it is missed or just met, 1 where none is late."""
+        """How far the aim is surpassed: 0 where it is just met, 1 where none is late, and down to
+        -1 where twice as many are late as the aim allows."""
         if self.aim >= 1.0:
             return 0.0
-        return min(1.0, max(0.0, (self.share - self.aim) / (1.0 - self.aim)))
+        return min(1.0, max(-1.0, (self.share - self.aim) / (1.0 - self.aim)))
