--- a/src/salthead/coordination/estimates.py
+++ b/src/salthead/coordination/estimates.py
@@ -26,6 +26,26 @@
         return max(1.0, guess_s * self.factor(breed))
 
 
+class Arrivals:
+    """How far apart jobs come, and whether they have stopped coming."""
+
+    WEIGHT = 0.1  # of one gap
+    # Where jobs come independently, a gap this many times the mean is one in 3,000.
+    STOPPED = 8.0
+
+    def __init__(self, now: float) -> None:
+        self.last = now
+        self.gap_s: float | None = None
+
+    def came(self, now: float) -> None:
+        gap_s, self.last = now - self.last, now
+        old = gap_s if self.gap_s is None else self.gap_s
+        self.gap_s = old + self.WEIGHT * (gap_s - old)
+
+    def stopped(self, now: float) -> bool:
+        return self.gap_s is not None and now - self.last > self.STOPPED * max(self.gap_s, 1.0)
+
+
 class Promptness:
     """How much of the work within guarantees has lately found its machines as fast as aimed for."""
 
@@ -40,8 +60,7 @@
         self.share += self.WEIGHT * (float(in_time) - self.share)
 
     def spare(self) -> float:
-        """How far the aim is surpassed: 0 where it is just met, 1 where none is late, and down to
-        -1 where twice as many are late as the aim allows."""
+        """How far the aim is surpassed: 0 where it is missed or just met, 1 where none is late."""
         if self.aim >= 1.0:
             return 0.0
-        return min(1.0, max(-1.0, (self.share - self.aim) / (1.0 - self.aim)))
+        return min(1.0, max(0.0, (self.share - self.aim) / (1.0 - self.aim)))
--- a/src/salthead/coordination/fleet.py
+++ b/src/salthead/coordination/fleet.py
@@ -31,9 +31,8 @@
 # Up to this part of the roster, silence after a takeover is the machines' own fault.
 SILENT_FEW = 0.15
 # A machine that was not needed for this part of a boot is worth less than its rent: the second
-# where all work within guarantees begins in time, so that less spare room would do as well, the
-# third where twice as much as allowed begins late.
-SURPLUS_BOOTS, SURPLUS_BOOTS_SPARE, SURPLUS_BOOTS_LATE = 1.0, 0.3, 2.0
+# where all work within guarantees begins in time, so that less spare room would do as well.
+SURPLUS_BOOTS, SURPLUS_BOOTS_SPARE = 1.0, 0.3
 
 
 @dataclass
@@ -267,9 +266,9 @@
                 count = pool.fill(kind, job.need, count)
                 if not count:
                     break
-    spare = ledger.prompt.spare()
-    patience = SURPLUS_BOOTS - spare * (
-        SURPLUS_BOOTS - SURPLUS_BOOTS_SPARE if spare > 0 else SURPLUS_BOOTS_LATE - SURPLUS_BOOTS)
+    # Spare room is for jobs to come.
+    spare = 1.0 if ledger.arrivals.stopped(now) else ledger.prompt.spare()
+    patience = SURPLUS_BOOTS - spare * (SURPLUS_BOOTS - SURPLUS_BOOTS_SPARE)
     for slot in slots:
         machine = slot.machine
         assert machine is not None
--- a/src/salthead/coordination/ledger.py
+++ b/src/salthead/coordination/ledger.py
@@ -16,7 +16,7 @@
 from dataclasses import dataclass, field
 from typing import Any
 
-from salthead.coordination.estimates import Estimates, Promptness
+from salthead.coordination.estimates import Arrivals, Estimates, Promptness
 from salthead.coordination.lease import surely_over
 from salthead.protocol import names
 from salthead.protocol.interning import Interner
@@ -241,6 +241,7 @@
         # Submission times are kept as times of day; here all else is in steady time.
         self.wall_ahead = 0.0 if wall is None else wall - now
         self.estimates = Estimates()
+        self.arrivals = Arrivals(now)
         at_once = next((aim for aim in limits.objectives if aim.kind == "guarantee"), None)
         self.prompt = Promptness(at_once.within_s, at_once.share) if at_once else Promptness(0, 1)
         self.crews = Interner([team.name for team in limits.teams])
@@ -320,6 +321,8 @@
             fresh=fresh,
         )
         self.jobs[spec.uid] = job
+        if fresh:
+            self.arrivals.came(now)
         fitting = self.fitting(job)
         if len(fitting) == 1 < len(self.flavors):
             self.scarce |= fitting
@@ -544,6 +547,7 @@
                 self.set_phase(machine, LOST)
                 machine.lost_at = now
                 machine.min_tenure = machine.tenure + 1
+                machine.greeted = math.inf  # it holds nothing any more, and may join if it heals
                 machine.joined = False
                 self._lose_tasks(machine, now, f"{machine.name} lost")
         if self.loaded and not self.ready:
