--- a/src/salthead/coordination/fleet.py
+++ b/src/salthead/coordination/fleet.py
@@ -319,6 +319,12 @@
         flavor = ledger.flavors.get(machine.build)
         cut = lost_many(ledger) and flavor is not None and now - machine.lost_at < flavor.boot_s
         return "" if cut else "lost"
+    if machine.phase == UP and machine.joined and (
+        machine.answered - machine.heard > ledger.limits.workers.lease_s
+    ):
+        # Copies alone, or a worker that began to count anew: nothing that it says is news, and
+        # each answer puts off the end of its lease. The cloud's word ends that.
+        return "only old reports"
     if not ledger.ready and silent_few(ledger, machine, now):
         return "silent after a takeover"
     if machine.condemned:
--- a/tests/standins.py
+++ b/tests/standins.py
@@ -424,7 +424,10 @@
         self, source: str, target: str, method: str, path: str, query: dict[str, str], body: Any,
         late: float,
     ) -> Answer:
-        await asyncio.sleep(late)
+        self.directs += target in self.cloud.hosts
+        self.direct_most = max(self.direct_most, self.directs)
+        await asyncio.sleep(late + self.rng.uniform(0.001, 0.01))
+        self.directs -= target in self.cloud.hosts
         if target == "state":
             return await self.state.handle(method, path, query, body)
         if target == "cloud":
@@ -434,14 +437,6 @@
         return await self.direct(target, body)
 
     async def direct(self, name: str, body: Any) -> Answer:
-        self.directs += 1
-        self.direct_most = max(self.direct_most, self.directs)
-        try:
-            return await self.carry_out(name, body)
-        finally:
-            self.directs -= 1
-
-    async def carry_out(self, name: str, body: Any) -> Answer:
         worker = self.cloud.hosts.get(name)
         if worker is None or not worker.up:
             raise Unanswered("no such machine")
--- a/tests/test_days.py
+++ b/tests/test_days.py
@@ -2,11 +2,13 @@
 
 import asyncio
 from itertools import pairwise
+from typing import Any
 
 import pytest
 
 from helpers import spec
 from salthead.protocol.messages import decode_submission, encode
+from salthead.transport.client import Answer
 from standins import World, run
 
 JOBS = [
@@ -388,3 +390,45 @@
         return world
 
     assert run(day).broken == []
+
+
+def test_every_page_is_written_on_condition_of_its_stamp() -> None:
+    # One that was given up on and is carried out late must not put an older page over a newer.
+    async def day() -> tuple[World, list[str]]:
+        world = World()
+        bare: list[str] = []
+        inner = world.state.txn
+
+        def txn(body: dict[str, Any]) -> Answer:
+            named = {condition["path"] for condition in body["when"]}
+            bare.extend(
+                key for change in body["apply"]
+                if (key := change.get("set") or change["drop"]).startswith(("roster/", "done/"))
+                and key not in named)
+            return inner(body)
+
+        world.state.txn = txn  # type: ignore[method-assign]
+        for n in range(3):
+            await world.submit(spec(f"req-{n}", pieces=8, guess_s=9.0))
+        await world.until_over()
+        return world, bare
+
+    world, bare = run(day)
+    assert world.broken == [] and bare == []
+    assert any(change.get("set", "").startswith("roster/") for change in world.state.log)
+
+
+def test_a_new_leader_counts_no_lease_from_before_what_the_last_may_have_allowed() -> None:
+    async def day() -> tuple[float, float]:
+        world = World()
+        await asyncio.sleep(5.0)
+        leader = world.leader()
+        assert leader is not None
+        world.state.keys["keep/n9"] = ({"token": 1, "nonce": "x", "area": "north"}, 1, None)
+        await world.crash(leader.settings.member)
+        while (leader := world.leader()) is None or not leader.term.ledger.loaded:
+            await asyncio.sleep(0.05)
+        return leader.term.ledger.leases_from - world.now(), leader.term.clock.ttl
+
+    ahead, ttl = run(day)
+    assert ttl - 0.1 < ahead < ttl + 0.2
--- a/tests/test_ledger.py
+++ b/tests/test_ledger.py
@@ -370,6 +370,26 @@
         led.tick(surely_over(9.0, led.limits.workers.lease_s) + 0.1)
         assert not one.bindings
 
+    def test_a_machine_of_which_only_old_reports_come_is_returned_with_its_tasks(self) -> None:
+        # A worker that was back at once and counts anew, or a dead one's copies: neither its
+        # tasks nor their jobs may wait for ever.
+        led = ready()
+        machine(led, "m1")
+        one = job(led, pieces=1)
+        place(led)
+        led.on_report(report("m1", 900, ("req-1/0", one.bindings[0].attempt, "running")), 1.0)
+        lease_s, now = led.limits.workers.lease_s, 1.0
+        while now < 1.0 + lease_s:
+            assert not fleet.plan(led, now, fleet.Refusals(), {}).returns
+            now += 2.0
+            assert led.on_report(report("m1", int(now)), now) == []
+            led.tick(now)
+        led.on_report(report("m1", 60), now + 1.0)
+        returns = fleet.plan(led, now + 1.0, fleet.Refusals(), {}).returns
+        assert returns == [led.machines["m1"]]
+        led.machine_gone(returns[0], now + 1.5)
+        assert one.waiting() == 1
+
     def test_a_copy_from_before_a_reap_starts_and_ends_nothing(self) -> None:
         led = ready()
         machine(led, "m1")
--- a/tests/test_scale.py
+++ b/tests/test_scale.py
@@ -122,6 +122,7 @@
         leader = world.leader()
         assert leader is not None
         world.direct_most = 0
+        world.late = lambda source, path: 0.2 if path == "/do" else 0.0
         await world.crash(leader.settings.member)
         await asyncio.sleep(12.0)
         ups = sum(w.up for w in world.cloud.hosts.values())
