--- a/src/salthead/coordination/order.py
+++ b/src/salthead/coordination/order.py
@@ -16,15 +16,12 @@
 
 # The protocol: the largest jobs of a class, too, begin within four minutes.
 BEGIN_WITHIN_S = 240.0
-# Parts of that wait: after the first, a job comes before those that can still meet their targets,
-# each of which it may make late; after the second, its team's small tasks make way as well.
-OVERDUE, PRESSING = 0.75, 0.9
 
 
 def overdue(job: Job, now: float) -> bool:
-    """Whether most of the time within which any job has to begin is gone."""
+    """Whether half of the time within which any job has to begin is gone."""
     return job.first_start is None and not job.n_done and (
-        now - job.submitted > OVERDUE * BEGIN_WITHIN_S)
+        now - job.submitted > 0.5 * BEGIN_WITHIN_S)
 
 
 def due(ledger: Ledger, job: Job, now: float) -> bool:
@@ -51,7 +48,7 @@
 def pressing(job: Job, now: float) -> bool:
     """Whether quota is kept from small tasks, too. They take little of it, and many of their jobs
     are late for each gang that begins sooner, so this is the last resort."""
-    return reserving(job, now) and now - job.submitted > PRESSING * BEGIN_WITHIN_S
+    return reserving(job, now) and now - job.submitted > 0.75 * BEGIN_WITHIN_S
 
 
 def target(ledger: Ledger, job: Job, run_s: float, now: float) -> float:
