Kept zones: not while strays are there, nor where a cancel would come too late; dead field gone

Found by reading: a stray task of a job that was cancelled under an earlier leader would have lived on behind a cut for as long as its lease was kept; and the leases' ends were over in time for a cancel only by the values of the deployments. Tests: TestKeptZones.

--- a/src/salthead/coordination/ledger.py
+++ b/src/salthead/coordination/ledger.py
@@ -568,10 +568,14 @@
         zone = self.zones.get(area)
         if zone is None:
             return False
+        workers = self.limits.workers
+        if workers.cancel_s < 2.0 * workers.lease_s:
+            return False  # a cancel just after a permission would come too late for the leases
         self.kept_until[zone] = max(until, self.kept_until.get(zone, -math.inf))
         return not any(
             job.over == names.ABORTED and binding.machine.zone == zone
-            for job in self.jobs.values() if job.over for binding in job.bindings.values())
+            for job in self.jobs.values() if job.over for binding in job.bindings.values()
+        ) and not any(m.ghosts for m in self.machines.values() if m.zone == zone)
 
     def _end_partial_gangs(self, now: float) -> None:
         """Gangs of which an earlier leader had started only a part when it ended.
--- a/src/salthead/service.py
+++ b/src/salthead/service.py
@@ -196,13 +196,13 @@
         now = self.now()
         back = self.keeper.came_back(report.saltlick, now)
         return (
-            # A worker may be here by chance. A second one, or one that was sent on before and is
-            # here again, can't reach it, and their leases may not last for another round.
-            (back or self.knocked() > 0)
+            self.leader not in (None, self.settings.member)
+            and self.keeper.valid(self.leader_token, now)
             and report.paddock == self.settings.area
             and report.baton <= self.leader_token
-            and self.leader not in (None, self.settings.member)
-            and self.keeper.valid(self.leader_token, now)
+            # A worker may be here by chance. A second one, or one that was sent on before and is
+            # here again, can't reach it, and their leases may not last for another round.
+            and (back or self.knocked() > 0)
         )
 
     def cut_off(self) -> bool:
--- a/src/salthead/term.py
+++ b/src/salthead/term.py
@@ -85,7 +85,6 @@
         self.hire_count = 0
         self.coming: dict[fleet.Kind, int] = {}
         self.refusals = fleet.Refusals()
-        self.jobs_stamp: dict[str, int] = {}
         self.since = 0
         self.parts, self.roster = self.new_pages()
         self.save_at = self.roster_at = -1e9
@@ -282,7 +281,6 @@
         except Malformed as error:
             self.node.note("job record", f"{key}: {error}")
             return
-        self.jobs_stamp[spec.uid] = stamp
         if spec.uid not in self.node.finals:
             self.ledger.add_job(spec, self.now(), fresh=stamp > self.stamp)
 
@@ -490,7 +488,6 @@
         """The outcome is durable, and may be told."""
         uid = job.uid
         self.node.final(uid, phase, job.spec.pieces)
-        self.jobs_stamp.pop(uid, None)
         for part in range(job.spec.pieces // records.part_size(self.limits.state.value_kb) + 1):
             self.parts.drop(records.part_name(uid, part))
         self.ledger.end_job(job, phase)
--- a/tests/test_ledger.py
+++ b/tests/test_ledger.py
@@ -412,6 +412,41 @@
         assert led.machines["m1"].phase == UP and not led.ready
 
 
+class TestKeptZones:
+    @pytest.mark.parametrize(
+        ("cancelled", "stray", "cancel_s", "allowed"),
+        [(False, False, 40.0, True), (True, False, 40.0, False), (False, True, 40.0, False),
+         (False, False, 23.0, False)],
+    )
+    def test_a_zone_is_kept_only_while_nothing_there_has_to_end(
+        self, cancelled: bool, stray: bool, cancel_s: float, allowed: bool,
+    ) -> None:
+        led = ready(workers={"report_s": 2.0, "lease_s": 12.0, "gang_wait_s": 40.0,
+                             "gang_peer_s": 5.0, "cancel_s": cancel_s})
+        machine(led, "m1", zone="south")
+        one = job(led, pieces=1)
+        place(led)
+        shown = [("req-1/0", one.bindings[0].attempt, "running")]
+        if stray:
+            shown.append(("req-9/0", 3, "running"))
+        led.on_report(report("m1", 2, *shown, zone="south"), 1.0)
+        if cancelled:
+            led.end_job(one, "aborted")
+        assert led.keep_zone("south", 30.0) == allowed
+        assert not led.keep_zone("nowhere", 30.0)
+
+    def test_no_lease_of_a_kept_zone_is_counted_from_before_the_permission_ends(self) -> None:
+        led = ready()
+        machine(led, "m1", zone="south")
+        machine(led, "m2")
+        assert led.keep_zone("south", 9.0)
+        lease_s = led.limits.workers.lease_s
+        led.tick(surely_over(0.0, lease_s) + 0.1)
+        assert led.machines["m1"].phase == UP and led.machines["m2"].phase == LOST
+        led.tick(surely_over(9.0, lease_s) + 0.1)
+        assert led.machines["m1"].phase == LOST
+
+
 class TestOneWay:
     """A machine's reports arrive, but answers and commands don't reach it."""
 
