--- a/src/salthead/coordination/placement.py
+++ b/src/salthead/coordination/placement.py
@@ -37,7 +37,9 @@
 
     Of those within guarantees, the ones that can still begin as fast as the users aim for come
     first, the smallest ahead: a large one, or one that has missed that, would make all that come
-    after it miss it as well.
+    after it miss it as well. Those that can meet no target any more come after all that can:
+    under overload a team's oldest jobs fill its guarantee, and were served ahead of everything
+    although they were late already.
     """
     waiting = [
         job for job in ledger.jobs.values()
@@ -48,12 +50,18 @@
     first = [job for job in waiting if job.uid in within and now - job.submitted <= at_once_s]
     first.sort(key=lambda job: (job.rank, job.waiting() * job.need[0], job.spec.at, job.uid))
     young = {job.uid for job in first}
-    rate = order.rate_of(ledger)
+    ahead = order.Ahead(ledger, now)
+    rows: dict[tuple[bool, int], tuple[list[Job], list[Job]]] = {}
+    ranks = range(len(names.URGENCIES))
     for guaranteed in (True, False):
-        for rank in range(len(names.URGENCIES)):
+        for rank in ranks:
             same = [job for job in waiting if job.rank == rank and job.uid not in young
                     and (job.uid in within) == guaranteed]
-            first += order.by_targets(ledger, same, rate, now)
+            rows[guaranteed, rank] = order.by_targets(ledger, same, ahead, now)
+    for rank in ranks:
+        first += rows[True, rank][0]
+    for rank in ranks:
+        first += rows[False, rank][0] + rows[True, rank][1] + rows[False, rank][1]
     return first
 
 
@@ -72,6 +80,20 @@
     return max(0, int(left))
 
 
+def unusable(ledger: Ledger, machine: Machine, now: float) -> str:
+    """Why room on a machine can't be used now, for operators; empty when it can."""
+    reasons = (
+        ("kept", bool(machine.held_for) and now < machine.held_until),
+        ("cordoned", machine.cordoned),
+        ("condemned", bool(machine.condemned)),
+        ("going", machine.returning or machine.warn_at is not None),
+        ("failing", now < machine.error_until),
+        ("deaf", not machine.hears(now)),
+        ("unheard", not usable(ledger, machine, now)),
+    )
+    return next((reason for reason, holds in reasons if holds), "")
+
+
 def allows(job: Job, machine: Machine) -> bool:
     """Kind, type and zone, for the job alone."""
     return (
--- a/src/salthead/term.py
+++ b/src/salthead/term.py
@@ -715,7 +715,9 @@
                     self.spent.get(machine.phase, 0.0) + machine.cap[0] * passed)
                 continue
             free = max(0.0, machine.cap[0] - machine.used[0])
-            self.spent["free"] = self.spent.get("free", 0.0) + free * passed
+            why = placement.unusable(self.ledger, machine, now)
+            use = f"free, {why}" if why else "free"
+            self.spent[use] = self.spent.get(use, 0.0) + free * passed
             for binding in machine.bindings.values():
                 what = binding.phase or "starting"
                 self.spent[what] = self.spent.get(what, 0.0) + binding.need[0] * passed
