--- a/src/salthead/coordination/order.py
+++ b/src/salthead/coordination/order.py
@@ -93,11 +93,6 @@
             bound = len(job.bindings) * job.need[0]
             if not bound:
                 continue
-            if job.gang:
-                self.rate -= bound
-            else:
-                # On average half of a run is left.
-                self.add(job.crew, 0.5 * bound * run_of(ledger, job))
 
     def add(self, crew: int, work: float) -> None:
         self.total += work
@@ -145,11 +140,9 @@
     rows: list[tuple[float, float, str, float, Job]] = []
     first = sorted((job for job in jobs if overdue(job, now)),
                    key=lambda job: (job.submitted, job.uid))
-    # A task holds its place for its run and until its start and its end are told.
-    told_s = ledger.limits.workers.report_s
     for job in jobs:
         run_s = run_of(ledger, job)
-        work = job.waiting() * max(job.need[0], 0.1) * (run_s + told_s)
+        work = job.waiting() * max(job.need[0], 0.1) * run_s
         if overdue(job, now):
             ahead.add(job.crew, work)
         else:
