--- a/src/salthead/coordination/gangs.py
+++ b/src/salthead/coordination/gangs.py
@@ -52,7 +52,7 @@
         rows = []
         for machine in placement.base_candidates(ledger, job, now):
             at = room_at(ledger, machine, job, now)
-            if at is not None:
+            if at is not None and not placement.overdue(ledger, machine, now):
                 rows.append((machine.held_for != job.uid, at, machine.name, machine))
         rows.sort(key=lambda row: row[:3])
         zones = sorted({row[3].zone for row in rows}) if job.spec.same_place else [None]
--- a/src/salthead/coordination/ledger.py
+++ b/src/salthead/coordination/ledger.py
@@ -76,6 +76,10 @@
     def piece(self) -> str:
         return f"{self.job.uid if self.job else '?'}/{self.index}"
 
+    def untold(self) -> bool:
+        """Whether no answer carried its start yet, so that it can't be on its machine."""
+        return not self.told and not self.phase and self.stop is None and not self.ghost
+
 
 @dataclass(slots=True, eq=False)
 class Machine:
@@ -467,6 +471,16 @@
         self._forget(job)
         self.on_change()
 
+    def move(self, binding: Binding, machine: Machine, now: float) -> None:
+        """Bind a gang's member, of which nobody has been told, to another machine."""
+        job = binding.job
+        assert job is not None and binding.untold()
+        del binding.machine.bindings[(job.uid, binding.index)]
+        del job.bindings[binding.index]
+        self.ranks[job.rank] -= 1
+        self._book(binding.machine, binding.need, binding.crew, -1.0)
+        self.bind(job, binding.index, machine, binding.attempt, now)
+
     def fail_gang(self, job: Job, now: float, why: str) -> None:
         """A gang's attempt is over: the tasks left of it go before it is drawn anew."""
         job.failed = True
--- a/src/salthead/coordination/order.py
+++ b/src/salthead/coordination/order.py
@@ -12,7 +12,7 @@
 import heapq
 import math
 
-from salthead.coordination.ledger import BOOTING, EPS, UP, Job, Ledger
+from salthead.coordination.ledger import EPS, Job, Ledger
 
 # The protocol: the largest jobs of a class, too, begin within four minutes.
 BEGIN_WITHIN_S = 240.0
@@ -73,87 +73,44 @@
     return best
 
 
-class Ahead:
-    """What is served before the jobs that are looked at next, in CPU-seconds, and the CPUs for it.
-
-    Seen on loss, prairie-ledger-fleet: counted against the whole fleet, gangs that hold a third of
-    it for minutes and the tasks that run now left out, twice as much seemed to be in time as was,
-    and then nearly all of it was late.
-    """
-
-    def __init__(self, ledger: Ledger, now: float) -> None:
-        fresh = now - 3.0 * ledger.limits.workers.report_s
-        self.rate = sum(
-            m.cap[0] for m in ledger.machines.values()
-            if not m.condemned and (m.phase == BOOTING or (m.phase == UP and m.heard >= fresh)))
-        self.total = 0.0
-        self.teams = [0.0 for _ in ledger.caps]
-        self.rates = [most[0] if most[0] > 0 else math.inf for most in ledger.caps]
-        for job in ledger.jobs.values():
-            bound = len(job.bindings) * job.need[0]
-            if not bound:
-                continue
-
-    def add(self, crew: int, work: float) -> None:
-        self.total += work
-        self.teams[crew] += work
-
-
-def run_of(ledger: Ledger, job: Job) -> float:
-    return ledger.estimates.run_s(job.spec.breed, job.spec.guess_s)
-
-
 class Load:
     """Work that is ahead, and the largest piece of it."""
 
-    def __init__(self, rate: float, total: float) -> None:
+    def __init__(self, rate: float) -> None:
         self.rate = rate
-        self.total = total
+        self.total = 0.0
         self.largest: list[tuple[float, int]] = []  # negated work, and where in the rows
 
     def add(self, at: int, work: float) -> None:
         self.total += work
         heapq.heappush(self.largest, (-work, at))
 
-    def pop(self, put_off: set[int]) -> tuple[int, float] | None:
-        """Take the largest away that has not been put off by another load's measure.
-
-        None where only what is served before these jobs is left.
-        """
-        while self.largest:
+    def pop(self, put_off: set[int]) -> tuple[int, float]:
+        """Take the largest away that has not been put off by another load's measure."""
+        while True:
             work, at = heapq.heappop(self.largest)
             if at not in put_off:
                 self.total += work
                 return at, -work
-        return None
-
 
-def by_targets(
-    ledger: Ledger, jobs: list[Job], ahead: Ahead, now: float,
-) -> tuple[list[Job], list[Job]]:
-    """One rank's jobs in the order in which they are served: those in time, and those behind.
 
-    ``ahead`` grows by the work of the first.
-    """
-    if not jobs:
-        return [], []
+def by_targets(ledger: Ledger, jobs: list[Job], rate: float, now: float) -> list[Job]:
+    """One rank's jobs in the order in which they are served; ``rate`` is in CPUs."""
     rows: list[tuple[float, float, str, float, Job]] = []
     first = sorted((job for job in jobs if overdue(job, now)),
                    key=lambda job: (job.submitted, job.uid))
     for job in jobs:
-        run_s = run_of(ledger, job)
-        work = job.waiting() * max(job.need[0], 0.1) * run_s
         if overdue(job, now):
-            ahead.add(job.crew, work)
-        else:
-            rows.append((target(ledger, job, run_s, now), job.submitted, job.uid, work, job))
+            continue
+        run_s = ledger.estimates.run_s(job.spec.breed, job.spec.guess_s)
+        work = job.waiting() * max(job.need[0], 0.1) * run_s
+        rows.append((target(ledger, job, run_s, now), job.submitted, job.uid, work, job))
     rows.sort(key=lambda row: row[:3])
     kept: list[tuple[float, float, str, float, Job]] = []
     behind: list[tuple[float, float, str, float, Job]] = []
     # What limits the work ahead is the fleet, and for each team also its own limit.
-    fleet_load = Load(ahead.rate, ahead.total)
-    loads = [Load(min(ahead.rate, most), total)
-             for most, total in zip(ahead.rates, ahead.teams, strict=True)]
+    fleet_load = Load(rate)
+    loads = [Load(min(rate, most[0]) if most[0] > 0 else rate) for most in ledger.caps]
     put_off: set[int] = set()
     for at, row in enumerate(rows):
         if row[0] == math.inf:
@@ -165,17 +122,16 @@
         # The last of its tasks starts when all work ahead of it is done.
         for load, other in ((own, fleet_load), (fleet_load, None)):
             if load.total > EPS and now + load.total / max(load.rate, 1.0) > row[0]:
-                if (found := load.pop(put_off)) is None:
-                    continue
-                largest, work = found
+                largest, work = load.pop(put_off)
                 put_off.add(largest)
                 other = other or loads[rows[largest][4].crew]
                 other.total -= work
     for at, row in enumerate(rows):
-        if at in put_off:
-            behind.append(row)
-        else:
-            kept.append(row)
-            ahead.add(row[4].crew, row[3])
+        (behind if at in put_off else kept).append(row)
     behind.sort(key=lambda row: row[1:3])
-    return first + [row[4] for row in kept], [row[4] for row in behind]
+    return first + [row[4] for row in kept + behind]
+
+
+def rate_of(ledger: Ledger) -> float:
+    """CPUs of all machines that are up or coming."""
+    return sum(m.cap[0] for m in ledger.machines.values() if not m.condemned)
--- a/src/salthead/coordination/placement.py
+++ b/src/salthead/coordination/placement.py
@@ -37,9 +37,7 @@
 
     Of those within guarantees, the ones that can still begin as fast as the users aim for come
     first, the smallest ahead: a large one, or one that has missed that, would make all that come
-    after it miss it as well. Those that can meet no target any more come after all that can:
-    under overload a team's oldest jobs fill its guarantee, and were served ahead of everything
-    although they were late already.
+    after it miss it as well.
     """
     waiting = [
         job for job in ledger.jobs.values()
@@ -50,18 +48,12 @@
     first = [job for job in waiting if job.uid in within and now - job.submitted <= at_once_s]
     first.sort(key=lambda job: (job.rank, job.waiting() * job.need[0], job.spec.at, job.uid))
     young = {job.uid for job in first}
-    ahead = order.Ahead(ledger, now)
-    rows: dict[tuple[bool, int], tuple[list[Job], list[Job]]] = {}
-    ranks = range(len(names.URGENCIES))
+    rate = order.rate_of(ledger)
     for guaranteed in (True, False):
-        for rank in ranks:
+        for rank in range(len(names.URGENCIES)):
             same = [job for job in waiting if job.rank == rank and job.uid not in young
                     and (job.uid in within) == guaranteed]
-            rows[guaranteed, rank] = order.by_targets(ledger, same, ahead, now)
-    for rank in ranks:
-        first += rows[True, rank][0]
-    for rank in ranks:
-        first += rows[False, rank][0] + rows[True, rank][1] + rows[False, rank][1]
+            first += order.by_targets(ledger, same, rate, now)
     return first
 
 
@@ -119,6 +111,16 @@
     )
 
 
+def overdue(ledger: Ledger, machine: Machine, now: float) -> bool:
+    """Whether the next report should have come: a period, a quarter more, and a second for the
+    way and a busy leader.
+
+    Long before the filter by freshness says so, such a machine may have died. For one task the
+    design's filter stands; a gang needs all of its machines, and so does the room made for it.
+    """
+    return now - machine.heard > 1.25 * ledger.limits.workers.report_s + 1.0
+
+
 def open_to(ledger: Ledger, job: Job, machine: Machine, now: float) -> bool:
     """Not kept for another job, nor of the only type for one that waits unless time presses."""
     return (
@@ -252,7 +254,7 @@
     pieces = job.spec.pieces
     if quota_left(ledger, job) < pieces:
         return 0
-    base = candidates(ledger, job, now)
+    base = [m for m in candidates(ledger, job, now) if not overdue(ledger, m, now)]
     zones: Iterable[int | None] = [None]
     if job.spec.same_place:
         present = sorted({m.zone for m in base})
@@ -293,6 +295,35 @@
     return True
 
 
+def redraw(ledger: Ledger, rng: random.Random, now: float) -> None:
+    """Draw tasks again whose start was not told to anybody, and whose machine has gone silent.
+
+    Seen on loss, prairie-ledger-fleet: a machine that dies just after a draw holds its tasks until
+    its lease is over, and with a gang's member all the other machines of the gang. No answer
+    carried the start, so the task is certainly not there. A gang's member takes its attempt
+    along, and so completes the gang that gathers.
+    """
+    for machine in ledger.machines.values():
+        if machine.phase != UP or not machine.bindings or not overdue(ledger, machine, now):
+            continue
+        for binding in [b for b in machine.bindings.values() if b.untold()]:
+            job = binding.job
+            if job is None or job.failed or job.over:
+                continue
+            if not job.gang:
+                ledger.release(binding, now, "never told")
+                continue
+            counts = zone_counts(job)
+            counts[machine.zone] -= 1
+            counts = {zone: count for zone, count in counts.items() if count}
+            found = [m for m in candidates(ledger, job, now)
+                     if not overdue(ledger, m, now) and zone_open(job, m.zone, counts)]
+            if found:
+                other = draw(found, rng)
+                log.info("%s goes from silent %s to %s", binding.piece, machine.name, other.name)
+                ledger.move(binding, other, now)
+
+
 def attempt(
     ledger: Ledger, job: Job, rng: random.Random, now: float, only: Machine | None = None,
 ) -> int:
--- a/src/salthead/coordination/preemption.py
+++ b/src/salthead/coordination/preemption.py
@@ -96,7 +96,8 @@
         return 0
     base = [
         m for m in placement.base_candidates(ledger, job, now)
-        if all(c + 1e-6 >= n for c, n in zip(m.cap, job.need, strict=True))
+        if not placement.overdue(ledger, m, now)
+        and all(c + 1e-6 >= n for c, n in zip(m.cap, job.need, strict=True))
     ]
     zones: list[int | None] = [None]
     if job.gang and job.spec.same_place:
@@ -194,7 +195,13 @@
     for job in starved:
         if job.short:
             continue
-        if ledger.kept_for(job.uid, now):
+        kept = ledger.kept_for(job.uid, now)
+        if any(placement.overdue(ledger, machine, now) for machine in kept):
+            # Seen on loss, prairie-ledger-fleet: of the room made for a gang of 24 one machine
+            # died, and the rest stood empty until it was given up. What was stopped for it goes
+            # anyway, so that the same machines are chosen, and others for the silent ones.
+            ledger.unkeep(job.uid)
+        elif kept:
             continue  # room is being made already
         make_room(ledger, job, within, now)
 
--- a/src/salthead/term.py
+++ b/src/salthead/term.py
@@ -453,6 +453,7 @@
 
     def decide(self, now: float) -> None:
         if self.valid():
+            placement.redraw(self.ledger, self.node.rng, now)
             starved = placement.place(self.ledger, self.node.rng, now)
             preemption.preempt(self.ledger, starved, now)
             gangs.keep_room(self.ledger, starved, now)
--- a/tests/test_ledger.py
+++ b/tests/test_ledger.py
@@ -292,7 +292,7 @@
         orders = led.on_report(report(names[1], 3, ("req-1/1", old, "running")), 16.0)
         assert verbs(orders) == [("stop", "req-1/1")]
         led.on_report(report(names[1], 4, ("req-1/1", old, "exited", "mates_gone")), 17.0)
-        place(led, 19.0)
+        place(led, 18.4)
         assert len(one.bindings) == 2 and one.attempt > old
 
     def test_an_orderly_stop_tells_every_member_with_its_grace(self) -> None:
