Connections within the platform's number of sockets; joins sized by it; a plan counts the silent once

A plan in a takeover with half of 1,000 machines silent took 1,009,130 calls, since each machine counted the silent anew. Joins of silent machines (2 s each, 12 at a time) came before those of machines that answer at once. Ruled out: idle time-outs alone, since workers come back sooner than any that users can live with.

--- a/src/salthead/bookkeeping/store.py
+++ b/src/salthead/bookkeeping/store.py
@@ -44,14 +44,17 @@
 
 
 class Store:
+    URGENT, BULK, WATCHES = 4, 8, 4
+    SLOTS = URGENT + BULK + WATCHES
+
     def __init__(
         self, endpoint: str, rps: float, write_rps: float, now: Callable[[], float],
         dial: Callable[[str, int], Caller] = Caller,
     ) -> None:
         # Leases have slots and a budget of their own: they never queue behind bulk work.
-        self.urgent = dial(endpoint, 4)
-        self.bulk = dial(endpoint, 8)
-        self.watches = dial(endpoint, 4)
+        self.urgent = dial(endpoint, self.URGENT)
+        self.bulk = dial(endpoint, self.BULK)
+        self.watches = dial(endpoint, self.WATCHES)
         # Half of what all nodes together may ask is left for the others and for leases.
         self.reads = Budget(rps * 0.4, rps * 0.3, now)
         self.writes = Budget(write_rps * 0.5, write_rps * 0.5, now)
--- a/src/salthead/cli.py
+++ b/src/salthead/cli.py
@@ -60,8 +60,8 @@
     async def work() -> None:
         node = Node(settings)
         try:
-            listen(client_app(node), settings.client_listen)
-            listen(cluster_app(node), settings.cluster_listen)
+            listen(node, client_app(node), settings.client_listen, node.sockets.clients)
+            listen(node, cluster_app(node), settings.cluster_listen, node.sockets.peers_in)
         except OSError as error:
             raise click.ClickException(f"can't listen: {error}") from None
         logging.getLogger("salthead").info("%s started", settings.member)
--- a/src/salthead/coordination/fleet.py
+++ b/src/salthead/coordination/fleet.py
@@ -230,9 +230,10 @@
     needed = {slot.machine.name for slot in slots if slot.machine is not None and slot.taken}
     if ledger.ready:
         mark_surplus(ledger, needed, now)
+    counted = Counted(ledger, now)
     result.returns = [
         machine for machine in ledger.machines.values()
-        if not machine.returning and wanted_back(ledger, machine, needed, now)
+        if not machine.returning and wanted_back(ledger, machine, needed, counted, now)
     ]
     return result
 
@@ -284,40 +285,34 @@
             log.info("machine %s is not needed: cordoned", machine.name)
 
 
-def lost_many(ledger: Ledger) -> bool:
-    """Whether so many machines are lost at once that a cut is likelier than their deaths.
+class Counted:
+    """What a plan counts once over the fleet: for each machine anew, a takeover in which half of
+    a thousand are silent took a million steps a plan."""
 
-    They are up behind the cut, with no tasks left; waiting for them for as long as a boot takes
-    is cheaper than to return them and boot as many.
-    """
-    lost = sum(1 for m in ledger.machines.values() if m.phase == LOST)
-    return lost > max(1.0, SILENT_FEW * sum(1 for m in ledger.machines.values() if m.rostered))
-
-
-def silent_few(ledger: Ledger, machine: Machine, now: float) -> bool:
-    """Whether to return a silent machine rather than wait for its lease to end.
-
-    After a takeover one dead or hanging machine holds up every start for a whole lease. The
-    cloud's word that it is gone settles that at the price of one boot. Many silent machines are
-    a cut, not broken machines, and are waited for.
-    """
-    silent = ledger.unheard()
-    roster = sum(1 for m in ledger.machines.values() if m.rostered)
-    grace_s = 1.0 + ledger.limits.workers.report_s
-    return (
-        machine in silent
-        and now - ledger.took_over > grace_s
-        and len(silent) <= max(1.0, SILENT_FEW * roster)
-    )
+    def __init__(self, ledger: Ledger, now: float) -> None:
+        most = max(1.0, SILENT_FEW * sum(1 for m in ledger.machines.values() if m.rostered))
+        # Whether so many machines are lost at once that a cut is likelier than their deaths. They
+        # are up behind the cut, with no tasks left; waiting for them for as long as a boot takes
+        # is cheaper than to return them and boot as many.
+        self.lost_many = sum(1 for m in ledger.machines.values() if m.phase == LOST) > most
+        # Silent machines to return rather than wait for their leases to end. After a takeover one
+        # dead or hanging machine holds up every start for a whole lease. The cloud's word that it
+        # is gone settles that at the price of one boot. Many silent machines are a cut, not
+        # broken machines, and are waited for.
+        self.silent_few: set[str] = set()
+        if not ledger.ready and now - ledger.took_over > 1.0 + ledger.limits.workers.report_s:
+            silent = ledger.unheard()
+            if len(silent) <= most:
+                self.silent_few = {machine.name for machine in silent}
 
 
 def wanted_back(
-    ledger: Ledger, machine: Machine, needed: set[str], now: float,
+    ledger: Ledger, machine: Machine, needed: set[str], counted: Counted, now: float,
 ) -> str:
     """Why the machine should be returned now; empty when it should not."""
     if machine.phase == LOST:
         flavor = ledger.flavors.get(machine.build)
-        cut = lost_many(ledger) and flavor is not None and now - machine.lost_at < flavor.boot_s
+        cut = counted.lost_many and flavor is not None and now - machine.lost_at < flavor.boot_s
         return "" if cut else "lost"
     if machine.phase == UP and machine.joined and (
         machine.answered - machine.heard > ledger.limits.workers.lease_s
@@ -325,7 +320,7 @@
         # Copies alone, or a worker that began to count anew: nothing that it says is news, and
         # each answer puts off the end of its lease. The cloud's word ends that.
         return "only old reports"
-    if not ledger.ready and silent_few(ledger, machine, now):
+    if machine.name in counted.silent_few:
         return "silent after a takeover"
     if machine.condemned:
         return machine.condemned if not machine.busy() else ""
--- a/src/salthead/term.py
+++ b/src/salthead/term.py
@@ -6,7 +6,7 @@
 import contextlib
 import logging
 import time
-from collections.abc import Coroutine
+from collections.abc import Coroutine, Iterator
 from typing import TYPE_CHECKING, Any
 
 import msgspec
@@ -55,7 +55,9 @@
 SAVE_GAP_S = 0.25
 # Tasks of an unfinished job are saved at most this often; their ends are kept by the worker.
 PART_GAP_S = 2.0
-JOINS_AT_ONCE = 12
+# A machine that is well answers a direct call in milliseconds; a silent one is asked again, for
+# longer, when all others have been.
+JOIN_S, JOIN_AGAIN_S = 0.5, 2.0
 BATCH_KB = 56.0  # of a transaction's 64 KiB
 ACCOUNT_S, SHOW_S = 2.0, 10.0
 OVERVIEW_ROWS = 150
@@ -352,16 +354,21 @@
         return self.ledger.on_report(report, self.now())
 
     async def join_all(self, machines: list[Machine]) -> None:
-        """A few at a time: calls that queue for a slot would time out in the queue."""
-        left = iter(machines)
+        """Some at a time: calls that queue for a slot would time out in the queue.
 
-        async def some() -> None:
-            for machine in left:
-                await self.join(machine)
+        Behind a cut hundreds are silent, and with one long time-out for each they would hold up
+        those that answer at once.
+        """
+        for timeout in (JOIN_S, JOIN_AGAIN_S):
+            left = iter([machine for machine in machines if not machine.joined])
+
+            async def some(left: Iterator[Machine] = left, timeout: float = timeout) -> None:
+                for machine in left:
+                    await self.join(machine, timeout)
 
-        await asyncio.gather(*(some() for _ in range(JOINS_AT_ONCE)))
+            await asyncio.gather(*(some() for _ in range(self.node.sockets.joins)))
 
-    async def join(self, machine: Machine) -> None:
+    async def join(self, machine: Machine, timeout: float) -> None:
         """Ask a machine of the roster directly: its worker may be waiting for a dead leader.
 
         A call with our token and no orders makes the worker accept the token, after which no
@@ -374,7 +381,7 @@
             try:
                 answer = await self.node.workers.call(
                     "POST", names.DO, {"baton": self.token, "tenure": tenure, "orders": []},
-                    timeout=2.0, endpoint=machine.endpoint)
+                    timeout=timeout, endpoint=machine.endpoint)
                 report = shape(answer.body, Report)
             except TROUBLES as error:
                 self.node.note("join", error)
--- /dev/null
+++ b/src/salthead/transport/connections.py
@@ -0,0 +1,70 @@
+"""How many connections are open on a server, and which of them go when there are too many.
+
+The platform gives a process a number of sockets. Seen at half as many machines again as the fleet
+deployments have: behind a cut that holds packets, workers leave connections half open and open
+new ones, 1,344 on one controller with 926 machines. At the bound a process can't reach the state
+service either, and a leader would lose the lead.
+"""
+
+from __future__ import annotations
+
+from collections import OrderedDict
+from collections.abc import Callable
+from typing import Protocol
+
+Mark = tuple[int, int]  # of a report: (tenure, tally)
+
+
+class Closable(Protocol):
+    def close(self) -> None: ...
+
+
+class Connections:
+    """Open connections, the one used longest ago first. ``most`` 0: as many as come."""
+
+    def __init__(self, most: int, idle_s: float, now: Callable[[], float]) -> None:
+        self.most = most
+        self.idle_s = idle_s  # whoever was silent for this long has gone, or can come again
+        self.now = now
+        self.used_at: OrderedDict[Closable, float] = OrderedDict()
+        self.of_worker: dict[str, tuple[Closable, Mark]] = {}
+        self.worker_on: dict[Closable, str] = {}
+
+    def opened(self, stream: Closable) -> bool:
+        """Whether the connection may stay; if need be, the one that was idle longest goes."""
+        now = self.now()
+        if 0 < self.most <= len(self.used_at):
+            oldest, at = next(iter(self.used_at.items()))
+            if now - at <= self.idle_s:
+                return False
+            self.closed(oldest)
+            oldest.close()
+        self.used_at[stream] = now
+        return True
+
+    def used(self, stream: Closable) -> None:
+        if stream in self.used_at:
+            self.used_at[stream] = self.now()
+            self.used_at.move_to_end(stream)
+
+    def closed(self, stream: Closable) -> None:
+        self.used_at.pop(stream, None)
+        worker = self.worker_on.pop(stream, None)
+        if worker is not None and self.of_worker.get(worker, (None,))[0] is stream:
+            del self.of_worker[worker]
+
+    def reported(self, worker: str, mark: Mark, stream: Closable) -> None:
+        """A worker has one connection: a newer one ends that before it, which may be half open.
+
+        A late copy on another connection is no newer report, and ends nothing.
+        """
+        if stream not in self.used_at:
+            return
+        known = self.of_worker.get(worker)
+        if known is not None and known[0] is not stream:
+            if mark <= known[1]:
+                return
+            self.closed(known[0])
+            known[0].close()
+        self.of_worker[worker] = (stream, mark)
+        self.worker_on[stream] = worker
--- a/src/salthead/transport/server.py
+++ b/src/salthead/transport/server.py
@@ -16,10 +16,12 @@
     RequestStartLine,
     ResponseStartLine,
 )
+from tornado.iostream import IOStream
 from tornado.web import Application, RequestHandler
 
 from salthead import metrics
 from salthead.bookkeeping.store import Conflict, NoLease, Refused
+from salthead.coordination.placement import FRESH_PERIODS
 from salthead.protocol import names
 from salthead.protocol.messages import (
     MAX_BODY,
@@ -35,9 +37,11 @@
 from salthead.settings import split_endpoint
 from salthead.term import Term
 from salthead.transport.client import Unanswered
+from salthead.transport.connections import Connections
 
 log = logging.getLogger("salthead.server")
 
+BACKLOG = 512  # where the platform names no number of sockets
 CANT_NOW = (Later, Refused, Unanswered, NoLease, Conflict)
 
 
@@ -137,8 +141,12 @@
 
     TYPES = {"Content-Type": "application/cbor"}
 
-    def __init__(self, node: Node, connection: HTTPConnection, who: str) -> None:
+    def __init__(
+        self, node: Node, connection: HTTPConnection, who: str, server: BoundServer | None,
+        stream: IOStream | None,
+    ) -> None:
         self.node, self.connection, self.who = node, connection, who
+        self.server, self.stream = server, stream
         self.began = node.now()
         self.chunks: list[bytes] = []
 
@@ -148,7 +156,11 @@
     def finish(self) -> None:
         node = self.node
         try:
-            status, body = node.on_report(decode_report(b"".join(self.chunks)), self.who)
+            report = decode_report(b"".join(self.chunks))
+            if self.server is not None and self.stream is not None:
+                self.server.open.reported(
+                    report.saltlick, (report.tenure, report.tally), self.stream)
+            status, body = node.on_report(report, self.who)
         except Malformed as error:
             node.note("report", error)
             status, body = 400, {"error": str(error)[:200]}
@@ -174,11 +186,13 @@
 
     def __init__(self, node: Node, app: Application) -> None:
         self.node, self.app = node, app
+        self.server: BoundServer | None = None
 
     def start_request(
         self, server_conn: object, request_conn: HTTPConnection,
     ) -> HTTPMessageDelegate:
-        return AtDoor(self, server_conn, request_conn)
+        stream = getattr(server_conn, "stream", None)
+        return AtDoor(self, server_conn, request_conn, stream)
 
     def on_close(self, server_conn: object) -> None:
         self.app.on_close(server_conn)
@@ -187,19 +201,26 @@
 class AtDoor(HTTPMessageDelegate):
     """A request of which only the connection is known yet."""
 
-    def __init__(self, door: Door, server_conn: object, connection: HTTPConnection) -> None:
+    def __init__(
+        self, door: Door, server_conn: object, connection: HTTPConnection,
+        stream: IOStream | None,
+    ) -> None:
         self.door, self.server_conn, self.connection = door, server_conn, connection
+        self.stream = stream
         self.inner: HTTPMessageDelegate | None = None
 
     def headers_received(
         self, start_line: RequestStartLine | ResponseStartLine, headers: HTTPHeaders,
     ) -> Awaitable[None] | None:
+        server = self.door.server
+        if server is not None and self.stream is not None:
+            server.open.used(self.stream)
         if isinstance(start_line, RequestStartLine) and (
             start_line.path == names.HELLO and start_line.method == "POST"
         ):
             context = getattr(self.connection, "context", None)
             self.inner = Hello(self.door.node, self.connection, str(
-                getattr(context, "remote_ip", "")))
+                getattr(context, "remote_ip", "")), server, self.stream)
             return None
         self.inner = self.door.app.start_request(self.server_conn, self.connection)
         return self.inner.headers_received(start_line, headers)
@@ -338,9 +359,33 @@
     ])
 
 
-def listen(app: HTTPServerConnectionDelegate, endpoint: str) -> HTTPServer:
+class BoundServer(HTTPServer):
+    """A server that holds no more connections than its part of the process's sockets."""
+
+    open: Connections
+
+    def handle_stream(self, stream: IOStream, address: tuple[str, int]) -> None:
+        if self.open.opened(stream):
+            super().handle_stream(stream, address)
+        else:
+            metrics.TROUBLE.labels("connections").inc()
+            stream.close()
+
+    def on_close(self, server_conn: object) -> None:
+        super().on_close(server_conn)
+        self.open.closed(server_conn.stream)  # type: ignore[attr-defined]
+
+
+def listen(
+    node: Node, app: HTTPServerConnectionDelegate, endpoint: str, most: int = 0,
+) -> BoundServer:
     host, port = split_endpoint(endpoint)
-    server = HTTPServer(app, max_body_size=MAX_BODY, max_buffer_size=4 * MAX_BODY,
-                        idle_connection_timeout=120.0, body_timeout=10.0)
-    server.listen(port, host)
+    server = BoundServer(app, max_body_size=MAX_BODY, max_buffer_size=4 * MAX_BODY,
+                         idle_connection_timeout=120.0, body_timeout=10.0)
+    server.open = Connections(most, FRESH_PERIODS * node.limits.workers.report_s, node.now)
+    if isinstance(app, Door):
+        app.server = server
+    # A fleet that comes back at once knocks within a second: the queue of the socket has to hold
+    # whoever may come at all, or the rest is refused and comes again later still.
+    server.listen(port, host, backlog=most or BACKLOG)
     return server
