--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -255,6 +255,88 @@
     assert late.bindings
 
 
+class TestSilentMachines:
+    """Seen on loss, prairie-ledger-fleet: 41 of 600 machines die at once, and nearly every gang of
+    24 had one of them, for which all others waited until its lease was over."""
+
+    def gang(self, led: Ledger, machines: int = 4, **changes) -> Job:
+        for n in range(machines):
+            machine(led, f"m{n}")
+        return job(led, shape="gang", pieces=3, vcpus=8.0, urgency="urgent", **changes)
+
+    @pytest.mark.parametrize(
+        ("heard", "placed"), [(1.0, 3), (0.6, 3), (0.4, 0), (-1.0, 0)],
+    )
+    def test_a_gang_is_not_drawn_on_a_machine_whose_report_is_overdue(
+        self, heard: float, placed: int,
+    ) -> None:
+        led = ready()
+        one = self.gang(led, 3)
+        for found in led.machines.values():
+            found.heard = 4.0
+        led.machines["m1"].heard = heard  # a period is 2 s, a quarter more, and a second
+        place(led, 4.0)
+        assert len(one.bindings) == placed
+
+    def test_a_member_of_which_nobody_was_told_goes_elsewhere_with_its_attempt(self) -> None:
+        led = ready()
+        one = self.gang(led)
+        place(led)
+        used = [one.bindings[n].machine for n in range(3)]
+        spare = next(m for m in led.machines.values() if not m.bindings)
+        for n in (0, 1):  # the starts of these are told; the third machine has died
+            orders = led.on_report(report(used[n].name, 2), 1.0)
+            assert verbs(orders) == [("start", f"req-1/{n}")]
+        for found in (used[0], spare):
+            led.on_report(report(found.name, 3), 4.0)
+        attempt = one.attempt
+        placement.redraw(led, random.Random(1), 4.0)
+        assert one.bindings[2].machine is spare and one.bindings[2].attempt == attempt
+        assert one.bindings[1].machine is used[1], "its start was told: it may be there"
+        assert not one.failed and not used[2].bindings and used[2].used[0] == 0.0
+        assert led.usage[one.crew][0] == 24.0 and sum(led.ranks) == 3
+        assert verbs(led.on_report(report(spare.name, 4), 5.0)) == [("start", "req-1/2")]
+
+    def test_a_member_stays_in_its_gangs_zone(self) -> None:
+        led = ready()
+        one = self.gang(led, 3, same_place=True)
+        place(led)
+        machine(led, "s1", 4.0, zone="south")
+        placement.redraw(led, random.Random(1), 4.0)
+        assert all(b.machine.zone == led.zones.get("north") for b in one.bindings.values())
+
+    @pytest.mark.parametrize(("told", "left"), [(False, 0), (True, 1)])
+    def test_a_single_task_of_which_nobody_was_told_is_free_at_once(
+        self, told: bool, left: int,
+    ) -> None:
+        led = ready()
+        machine(led, "m1")
+        one = job(led, pieces=1)
+        place(led)
+        if told:
+            led.on_report(report("m1", 2), 0.1)
+        placement.redraw(led, random.Random(1), 4.0)
+        assert len(one.bindings) == left
+        assert one.waiting() == 1 - left and led.usage[one.crew][0] == 2.0 * left
+
+    def test_room_made_on_a_machine_that_goes_silent_is_made_elsewhere(self) -> None:
+        led = ready()
+        for n in range(4):
+            machine(led, f"m{n}")
+        other = job(led, uid="req-9", urgency="idle", pieces=16, at=1.0)
+        place(led)
+        assert len(other.bindings) == 16
+        one = job(led, shape="gang", pieces=3, vcpus=8.0, urgency="urgent", at=2.0)
+        preemption.preempt(led, place(led, 1.0), 1.0)
+        kept = {m.name for m in led.kept_for(one.uid, 1.0)}
+        silent = sorted(kept)[0]
+        for name in set(led.machines) - {silent}:
+            led.machines[name].heard = 5.0
+        one.pause_until = 0.0
+        preemption.preempt(led, place(led, 5.0), 5.0)
+        assert {m.name for m in led.kept_for(one.uid, 5.0)} == set(led.machines) - {silent}
+
+
 class TestKeepingRoom:
     def crowd(self, led: Ledger, machines: int = 2) -> None:
         """Every machine half full of small tasks, a gang of two whole ones waiting."""
@@ -333,6 +415,27 @@
         job(led, pieces=4, vcpus=8.0, guess_s=15.0)
         assert sum(self.plan(led).hires.values()) == 1
 
+    @pytest.mark.parametrize(
+        ("age", "late", "hires"),
+        [
+            (0.0, 0, 2),  # each place serves four runs of 15 s in the horizon of 60 s
+            (30.0, 0, 2),
+            (50.0, 0, 6),  # half of the wait is gone: what a boot's 20 s allow, and no more
+            (0.0, 20, 6),  # guarantees are missed of late
+        ],
+    )
+    def test_what_is_due_or_misses_guarantees_shares_fewer_places(
+        self, age: float, late: int, hires: int,
+    ) -> None:
+        # Seen on loss, moana-buoys-fleet: 12,000 tasks waited beside 1,700 CPUs not hired.
+        led = ready(objectives=[{"kind": "deadline", "class": "b", "share": 0.9},
+                                {"kind": "guarantee", "within_s": 5.0, "share": 0.9}])
+        one = job(led, pieces=8, vcpus=8.0, guess_s=15.0, due_s=100.0, at=0.0)
+        one.submitted = -age
+        for _ in range(late):
+            led.prompt.judge(False)
+        assert sum(self.plan(led).hires.values()) == hires
+
     def test_booting_machines_count_and_the_teams_limit_binds(self) -> None:
         led = ready()
         job(led, crew="red", pieces=50, vcpus=8.0, guess_s=100.0)
--- a/tests/test_scale.py
+++ b/tests/test_scale.py
@@ -75,12 +75,40 @@
     assert cost(600) <= cost(60) * 1.3
 
 
-def test_a_plan_grows_no_faster_than_the_fleet() -> None:
+@pytest.mark.parametrize("silent", [0, 2, 10])
+def test_a_plan_grows_no_faster_than_the_fleet(silent: int) -> None:
+    # In a takeover, too, with half or a tenth of the fleet silent: each machine counted all of
+    # them, a million calls at 1,000 machines.
     def cost(machines: int) -> int:
         led = full(machines)
+        if silent:
+            led.ready = False
+            for n, found in enumerate(led.machines.values()):
+                found.joined = n % silent != 0
         return calls(lambda: fleet.plan(led, 10.0, fleet.Refusals(), {}))
 
-    assert cost(600) <= cost(60) * 12
+    assert cost(1000) <= cost(100) * 12
+
+
+@pytest.mark.parametrize(
+    ("work", "most"),
+    [
+        (lambda led, now: led.tick(now), 4),
+        (lambda led, now: placement.redraw(led, random.Random(1), now), 4),
+        (lambda led, now: led.silent(), 4),
+    ],
+    ids=["tick", "redraw", "silent"],
+)
+def test_what_is_done_ten_times_a_second_takes_a_few_calls_a_machine(
+    work: Callable[[Ledger, float], Any], most: int,
+) -> None:
+    led = full(1000)
+    led.ready = False
+    for n, found in enumerate(led.machines.values()):
+        found.joined = n % 2 == 0
+        found.heard = 0.0 if n % 2 else 9.0
+    work(led, 10.0)  # what is drawn again is drawn again once
+    assert calls(lambda: work(led, 10.0)) <= 1000 * most
 
 
 @pytest.mark.parametrize("seed", range(4))
