--- a/src/salthead/coordination/fleet.py
+++ b/src/salthead/coordination/fleet.py
@@ -360,9 +360,7 @@
         # Short tasks share a place one after the other, while there is time for that. Seen on
         # loss, moana-buoys-fleet: 12,000 tasks waited a minute for their turn, with deadlines of
         # fifty seconds, beside 1,700 CPUs that were not hired.
-        if ledger.prompt.missed() or (
-            order.has_targets(ledger, job) and order.due(ledger, job, now)
-        ):
+        if order.has_targets(ledger, job) and order.due(ledger, job, now):
             span = least_boot_s(ledger)
         count = min(count, math.ceil(count * ledger.estimates.run_s(
             job.spec.breed, job.spec.guess_s) / max(span, 1.0)))
