--- a/src/salthead/coordination/order.py
+++ b/src/salthead/coordination/order.py
@@ -20,7 +20,7 @@
 
 def overdue(job: Job, now: float) -> bool:
     """Whether half of the time within which any job has to begin is gone."""
-    return job.first_start is None and not job.n_done and (
+    return job.first_start is None and not job.n_done and not job.bindings and (
         now - job.submitted > 0.5 * BEGIN_WITHIN_S)
 
 
