--- a/src/salthead/coordination/estimates.py
+++ b/src/salthead/coordination/estimates.py
@@ -59,9 +59,6 @@
     def judge(self, in_time: bool) -> None:
         self.share += self.WEIGHT * (float(in_time) - self.share)
 
-    def missed(self) -> bool:
-        return self.share < self.aim
-
     def spare(self) -> float:
         """How far the aim is surpassed: 0 where it is missed or just met, 1 where none is late."""
         if self.aim >= 1.0:
--- a/src/salthead/coordination/fleet.py
+++ b/src/salthead/coordination/fleet.py
@@ -162,9 +162,20 @@
     return min((flavor.boot_s for flavor in ledger.flavors.values()), default=0.0)
 
 
-def horizon(ledger: Ledger) -> float:
-    """Work that the fleet gets to before a new machine would be up needs no new machine."""
-    return max(LEAST_CHARGE_S, least_boot_s(ledger))
+def horizon(ledger: Ledger, line: list[Job]) -> float:
+    """Work that the fleet gets to before a new machine would be up needs no new machine.
+
+    Nor is one worth its least charge for less work than that, unless the line is longer than a
+    boot. Seen on loss, moana-buoys-fleet: 12,000 tasks waited for up to a minute, with deadlines of
+    fifty seconds, beside 1,700 CPUs that were not hired.
+    """
+    boot_s = least_boot_s(ledger)
+    work = sum(
+        job.waiting() * job.need[0] * ledger.estimates.run_s(job.spec.breed, job.spec.guess_s)
+        for job in line if not job.gang)
+    if work > boot_s * order.rate_of(ledger) > 0.0:
+        return boot_s
+    return max(LEAST_CHARGE_S, boot_s)
 
 
 def supply(ledger: Ledger, now: float, coming: dict[Kind, int]) -> list[Slot]:
@@ -220,8 +231,8 @@
             for crew, most in enumerate(ledger.caps)
         }
         within = placement.entitled(ledger)
-        span = horizon(ledger)
         line = placement.queue(ledger, within, now)
+        span = horizon(ledger, line)
         pool = Pool(slots, min((job.need[0] for job in line), default=0.0))
         for job in line:
             _provide(ledger, job, pool, new, left[job.crew], span, refusals, now)
@@ -357,11 +368,7 @@
         if count < job.spec.pieces:
             return
     else:
-        # Short tasks share a place one after the other, while there is time for that. Seen on
-        # loss, moana-buoys-fleet: 12,000 tasks waited a minute for their turn, with deadlines of
-        # fifty seconds, beside 1,700 CPUs that were not hired.
-        if order.has_targets(ledger, job) and order.due(ledger, job, now):
-            span = least_boot_s(ledger)
+        # Short tasks share a place one after the other.
         count = min(count, math.ceil(count * ledger.estimates.run_s(
             job.spec.breed, job.spec.guess_s) / max(span, 1.0)))
     for n in range(2):
--- a/src/salthead/coordination/order.py
+++ b/src/salthead/coordination/order.py
@@ -73,13 +73,6 @@
     return best
 
 
-def has_targets(ledger: Ledger, job: Job) -> bool:
-    """Whether it matters to anybody when the job is done."""
-    return job.spec.due_s is not None or any(
-        aim.breed == job.spec.breed and aim.kind in ("finished", "wait")
-        for aim in ledger.limits.objectives)
-
-
 class Load:
     """Work that is ahead, and the largest piece of it."""
 
--- a/src/salthead/coordination/placement.py
+++ b/src/salthead/coordination/placement.py
@@ -32,18 +32,6 @@
     return within
 
 
-def undisputed(ledger: Ledger, within: set[str]) -> set[int]:
-    """Teams whose unfinished jobs all fit into their guarantee together: these need not wait on
-    other teams.
-
-    Seen on loss, prairie-ledger-fleet: where a team has more to do than that, its oldest jobs fill
-    the guarantee. Served ahead of all others they made it first come first served, and arrays of
-    any size were done after 160 to 220 s, with deadlines of 85 s.
-    """
-    beyond = {job.crew for job in ledger.jobs.values() if not job.over and job.uid not in within}
-    return set(range(len(ledger.guarantees))) - beyond
-
-
 def queue(ledger: Ledger, within: set[str], now: float) -> list[Job]:
     """Jobs with tasks that have no machine: guarantees first, then urgency, then targets.
 
@@ -61,11 +49,10 @@
     first.sort(key=lambda job: (job.rank, job.waiting() * job.need[0], job.spec.at, job.uid))
     young = {job.uid for job in first}
     rate = order.rate_of(ledger)
-    teams = undisputed(ledger, within)
     for guaranteed in (True, False):
         for rank in range(len(names.URGENCIES)):
             same = [job for job in waiting if job.rank == rank and job.uid not in young
-                    and (job.crew in teams) == guaranteed]
+                    and (job.uid in within) == guaranteed]
             first += order.by_targets(ledger, same, rate, now)
     return first
 
