--- a/src/salthead/coordination/fleet.py
+++ b/src/salthead/coordination/fleet.py
@@ -28,6 +28,9 @@
 # After a refusal the same kind is asked for again with doubling pauses.
 REFUSED_S, REFUSED_MAX_S = 5.0, 40.0
 HIRE_MOST = 50
+# A line longer than a boot counts once it has lasted for this part of a boot, while no more than
+# this part of the fleet is still on its way.
+LINE_BOOTS, LINE_BOOTING = 0.5, 0.25
 # Up to this part of the roster, silence after a takeover is the machines' own fault.
 SILENT_FEW = 0.15
 # A machine that was not needed for this part of a boot is worth less than its rent: the second
@@ -162,10 +165,10 @@
     return min((flavor.boot_s for flavor in ledger.flavors.values()), default=0.0)
 
 
-def horizon(ledger: Ledger, line: list[Job]) -> float:
+def horizon(ledger: Ledger, line: list[Job], now: float) -> float:
     """Work that the fleet gets to before a new machine would be up needs no new machine.
 
-    Nor is one worth its least charge for less work than that, unless the line is longer than a
+    Nor is one worth its least charge for less work than that, unless the line stays longer than a
     boot. Seen on loss, moana-buoys-fleet: 12,000 tasks waited for up to a minute, with deadlines of
     fifty seconds, beside 1,700 CPUs that were not hired.
     """
@@ -173,9 +176,17 @@
     work = sum(
         job.waiting() * job.need[0] * ledger.estimates.run_s(job.spec.breed, job.spec.guess_s)
         for job in line if not job.gang)
-    if work > boot_s * order.rate_of(ledger) > 0.0:
-        return boot_s
-    return max(LEAST_CHARGE_S, boot_s)
+    rate = order.rate_of(ledger)
+    booting = sum(m.cap[0] for m in ledger.machines.values() if m.phase == BOOTING)
+    # One array that comes, or a fleet that begins to boot, has a long line, too: what is hired for
+    # that comes too late, and what is then too much was given back too deep.
+    if work <= boot_s * rate or booting > LINE_BOOTING * rate:
+        ledger.long_line_since = None
+        return max(LEAST_CHARGE_S, boot_s)
+    if ledger.long_line_since is None:
+        ledger.long_line_since = now
+    lasts = now - ledger.long_line_since >= LINE_BOOTS * boot_s
+    return boot_s if lasts else max(LEAST_CHARGE_S, boot_s)
 
 
 def supply(ledger: Ledger, now: float, coming: dict[Kind, int]) -> list[Slot]:
@@ -232,7 +243,7 @@
         }
         within = placement.entitled(ledger)
         line = placement.queue(ledger, within, now)
-        span = horizon(ledger, line)
+        span = horizon(ledger, line, now)
         pool = Pool(slots, min((job.need[0] for job in line), default=0.0))
         for job in line:
             _provide(ledger, job, pool, new, left[job.crew], span, refusals, now)
--- a/src/salthead/coordination/ledger.py
+++ b/src/salthead/coordination/ledger.py
@@ -267,6 +267,7 @@
         # Jobs with tasks that wait, in the order of the last pass: who is offered freed room.
         self.line: list[Job] = []
         self.line_least = 0.0  # CPUs of the smallest task in line
+        self.long_line_since: float | None = None  # since when the fleet can't keep up with it
         self.usage = [[0.0, 0.0] for _ in limits.teams]
         self.rest_until = [0.0 for _ in limits.teams]  # until then no quota is kept for gangs
         self.jobs: dict[str, Job] = {}
