--- a/src/salthead/coordination/estimates.py
+++ b/src/salthead/coordination/estimates.py
@@ -26,6 +26,20 @@
         return max(1.0, guess_s * self.factor(breed))
 
 
+# One that has outlived its estimate goes on for this part of what it has run.
+OUTLIVED = 0.5
+
+
+def left_s(run_s: float, age_s: float) -> float:
+    """How long a task goes on that is thought to run for ``run_s`` and has run for ``age_s``.
+
+    One that has outlived its estimate is not about to end: nothing is known but that it runs
+    long. Seen on busy, prairie-ledger-fleet: the plan counted on the room of gangs that were
+    overdue, and two others waited for it for 100 s in a fleet that was being given back.
+    """
+    return run_s - age_s if age_s < run_s else age_s * OUTLIVED
+
+
 class Arrivals:
     """How far apart jobs come, and whether they have stopped coming."""
 
--- a/src/salthead/coordination/fleet.py
+++ b/src/salthead/coordination/fleet.py
@@ -8,6 +8,7 @@
 from dataclasses import dataclass, field
 
 from salthead.coordination import order, placement
+from salthead.coordination.estimates import left_s
 from salthead.coordination.ledger import (
     BOOTING,
     LOST,
@@ -192,8 +193,8 @@
 def supply(ledger: Ledger, now: float, coming: dict[Kind, int]) -> list[Slot]:
     """Room that is free, or will be by the time that a new machine could be up."""
     slots: list[Slot] = []
-    soon = now + 0.7 * least_boot_s(ledger)
-    ends = {job.uid: soon - ledger.estimates.run_s(job.spec.breed, job.spec.guess_s)
+    soon_s = 0.7 * least_boot_s(ledger)
+    runs = {job.uid: ledger.estimates.run_s(job.spec.breed, job.spec.guess_s)
             for job in ledger.jobs.values()}
     for machine in ledger.machines.values():
         if machine.condemned or machine.returning or machine.warn_at is not None:
@@ -209,7 +210,8 @@
             for binding in machine.bindings.values():
                 job = binding.job
                 if binding.stop is not None or (
-                    job is not None and 0.0 < binding.started < ends.get(job.uid, -math.inf)
+                    job is not None and binding.started > 0.0
+                    and left_s(runs.get(job.uid, math.inf), now - binding.started) <= soon_s
                 ):
                     for n in range(3):
                         room[n] += binding.need[n]
--- a/src/salthead/coordination/gangs.py
+++ b/src/salthead/coordination/gangs.py
@@ -10,6 +10,7 @@
 import logging
 
 from salthead.coordination import order, placement
+from salthead.coordination.estimates import left_s
 from salthead.coordination.ledger import EPS, Job, Ledger, Machine
 
 log = logging.getLogger("salthead.gangs")
@@ -25,7 +26,8 @@
         other = binding.job
         run_s = 0.0 if other is None else ledger.estimates.run_s(
             other.spec.breed, other.spec.guess_s)
-        ends.append((max(now, (binding.started or now) + run_s), binding.need))
+        age_s = now - binding.started if binding.started else 0.0
+        ends.append((now + left_s(run_s, age_s), binding.need))
     ends.sort(key=lambda pair: pair[0])
     at = now
     for end, need in ends:
--- a/src/salthead/coordination/placement.py
+++ b/src/salthead/coordination/placement.py
@@ -413,10 +413,7 @@
             job.pause_until = now + job.pause
         # For one gang at a time, and then as long for nobody: else all that an overloaded team
         # frees goes to a few of its largest jobs, and each of them makes many others late.
-        # Not while one of them would begin after the time that all have to begin within.
-        if ahead is None and order.reserving(job, now) and (
-            now >= ledger.rest_until[job.crew] or order.pressing(job, now)
-        ):
+        if ahead is None and order.reserving(job, now) and now >= ledger.rest_until[job.crew]:
             reserved[job.crew] = job
             if job.reserved_at is None:
                 job.reserved_at = now
--- a/src/salthead/coordination/preemption.py
+++ b/src/salthead/coordination/preemption.py
@@ -114,7 +114,9 @@
     for machine, victims in best[1]:
         # Until the stop is told, the task has saved, its exit is told, and the draw.
         longest = max((leeway(v.job) for v in victims if v.job), default=0.0)
-        ledger.keep(machine, job.uid, now + longest + 4.0 * report_s)
+        until = now + longest + 4.0 * report_s
+        ledger.keep(machine, job.uid, until)
+        job.room_until = max(job.room_until, until)
         for victim in victims:
             stop(ledger, victim, f"room for {job.uid}")
     return len(best[1])
@@ -195,7 +197,7 @@
     for job in starved:
         if job.short:
             continue
-        kept = ledger.kept_for(job.uid, now)
+        kept = ledger.kept_for(job.uid, now) if now < job.room_until else []
         if any(placement.overdue(ledger, machine, now) for machine in kept):
             # Seen on loss, prairie-ledger-fleet: of the room made for a gang of 24 one machine
             # died, and the rest stood empty until it was given up. What was stopped for it goes
