--- a/src/salthead/coordination/order.py
+++ b/src/salthead/coordination/order.py
@@ -42,7 +42,7 @@
     in which it should have begun it does so only every other while.
     """
     age = now - job.submitted
-    return job.gang and overdue(job, now) and (
+    return job.gang and not job.bindings and job.first_start is None and age > 0.375 * BEGIN_WITHIN_S and (
         age < 2.0 * BEGIN_WITHIN_S or int(age / BEGIN_WITHIN_S) % 2 == 0)
 
 
