--- a/tests/standins.py
+++ b/tests/standins.py
@@ -216,6 +216,7 @@
         self.born = world.now()
         self.up = self.hung = False
         self.deaf = False  # its reports arrive, answers and commands don't reach it
+        self.cut = False  # from all nodes; what is sent meanwhile arrives when that is over
         self.tenure, self.tally, self.baton = 1, 0, 0
         self.tasks: dict[tuple[str, int], dict[str, Any]] = {}
         self.answered = 0.0
@@ -314,6 +315,8 @@
         self, method: str, path: str, body: Any = None, timeout: float = 2.0,
         query: dict[str, Any] | None = None, endpoint: str = "",
     ) -> Answer:
+        while self.source in self.world.frozen:
+            await asyncio.sleep(0.05)
         if self.life != self.world.lives.get(self.source, 0):
             raise Unanswered("this process has been killed")
         return await self.world.call(
@@ -339,6 +342,7 @@
         self.cuts: set[tuple[str, str]] = set()
         self.areas = areas or {}  # of nodes; north if not named
         self.apart = False  # the zones can't reach each other
+        self.frozen: set[str] = set()  # nodes that stand still; what they get waits for them
         self.copies = 0.0  # part of the reports of which a copy comes late
         self.loss = 0.0  # part of the calls that are executed without an answer
         self.late: Callable[[str, str], float] = lambda source, path: 0.0
@@ -442,7 +446,7 @@
             raise Unanswered("no such machine")
         if worker.deaf:
             await asyncio.sleep(60.0)
-        while worker.hung:
+        while worker.hung or worker.cut:
             await asyncio.sleep(0.2)
         if body["baton"] < worker.baton or body["tenure"] != worker.tenure:
             return Answer(409, worker.report())
@@ -482,6 +486,12 @@
         await asyncio.sleep(self.rng.uniform(0.001, 0.01))
         if not self.reach(worker.name, name) or (name, "workers") in self.cuts:
             await asyncio.sleep(60.0)
+        held = worker.cut or name in self.frozen
+        if held:
+            late = asyncio.create_task(self.held(worker, name, message))
+            self.pending.add(late)
+            late.add_done_callback(self.pending.discard)
+            await asyncio.sleep(60.0)
         found = self.nodes[name]
         if found is None:
             raise Unanswered("refused")
@@ -495,6 +505,16 @@
             await asyncio.sleep(60.0)
         return answer
 
+    async def held(self, worker: Worker, name: str, message: bytes) -> None:
+        """A report that arrives when the cut is over, or its node goes on; its worker gave up."""
+        while worker.cut or name in self.frozen:
+            await asyncio.sleep(0.05)
+        node = self.nodes[name]
+        if node is not None:
+            status, body = node.on_report(decode_report(message))
+            if status == 200 and node.leading() is None and body["orders"] != []:
+                self.broken.append(f"orders of {name}, which does not lead")
+
     async def repeat(self, message: bytes, late: float) -> None:
         """A copy of a report that arrives at all nodes, late; nobody reads the answers."""
         await asyncio.sleep(late)
--- a/tests/test_days.py
+++ b/tests/test_days.py
@@ -198,6 +198,42 @@
     world.cloud.down = False
 
 
+async def frozen(world: World) -> None:
+    """The leader stands still for longer than its lease while its clocks run on, twice."""
+    for pause in (14.0, 30.0):
+        await asyncio.sleep(12.0)
+        leader = world.leader()
+        assert leader is not None
+        name = leader.settings.member
+        world.frozen.add(name)
+        await asyncio.sleep(pause)
+        assert leader.leading() is None, "its lease has ended whatever it thinks"
+        world.frozen.clear()
+        await asyncio.sleep(0.0)
+        assert leader.leading() is None
+        await asyncio.sleep(4.0)
+        assert world.leader() is not None
+
+
+async def many_cut(world: World) -> None:
+    """Half of the machines are cut off, the leader ends, and all that was held comes at once."""
+    await asyncio.sleep(16.0)
+    for back in (9.0, 22.0):
+        gone = list(world.cloud.hosts.values())[::2]
+        for worker in gone:
+            worker.cut = True
+        await asyncio.sleep(2.0)
+        leader = world.leader()
+        assert leader is not None
+        await world.crash(leader.settings.member)
+        await asyncio.sleep(0.2)
+        world.boot(leader.settings.member)
+        await asyncio.sleep(back)
+        for worker in gone:
+            worker.cut = False
+        await asyncio.sleep(10.0)
+
+
 async def zones_apart(world: World) -> None:
     """The zones are apart again and again, while leaders and keepers come and go."""
     world.areas["n1"] = "south"
@@ -220,7 +256,7 @@
     "trouble",
     [quiet, leader_crash, quick_restart, all_crash, state_outage, outage_and_crash, refused_alone,
      cut_from_workers, hang, lost_and_late, cloud_outage, one_way, late_copies, cut_off,
-     back_at_once, zones_apart],
+     back_at_once, frozen, many_cut, zones_apart],
     ids=lambda trouble: trouble.__name__,
 )
 @pytest.mark.parametrize("seed", [1, 2, 3])
--- a/tests/test_scale.py
+++ b/tests/test_scale.py
@@ -13,7 +13,7 @@
 
 import pytest
 
-from helpers import job, machine, ready, report, spec
+from helpers import LIMITS, job, machine, ready, report, spec
 from salthead.coordination import fleet, placement
 from salthead.coordination.ledger import Ledger
 from standins import World, run
@@ -139,6 +139,42 @@
         assert abs(seen[one_machine.name] / 4000 - share) < 0.04
 
 
+def test_the_silent_hold_up_no_others() -> None:
+    # Half of the fleet is cut off and the leader ends: what comes then starts on the other half
+    # while the leases of the silent run on, as far as the team's limit allows if all that is
+    # silent were the team's, and the silent are called after those that answer.
+    async def day() -> tuple[World, float, int]:
+        world = World(seed=4, most=60)
+        await asyncio.sleep(2.0)
+        for n, crew in enumerate(["blue"] * 6 + ["red"] * 2):  # one to a machine
+            await world.submit(spec(
+                f"req-{n}", pieces=1, vcpus=5.0, guess_s=60.0, crew=crew, builds=["small"]))
+        await asyncio.sleep(20.0)
+        busy = [worker for worker, _ in world.on_machines()]
+        for worker in busy[::2]:
+            worker.cut = True
+        leader = world.leader()
+        assert leader is not None and len(busy) == 8
+        await world.crash(leader.settings.member)
+        world.boot(leader.settings.member)
+        while (new := world.leader()) is None or not new.term.ledger.loaded:
+            await asyncio.sleep(0.05)
+        began = world.now()
+        await world.submit(spec("req-99", pieces=1, vcpus=1.0, guess_s=5.0))
+        while "req-99" not in world.begun:
+            await asyncio.sleep(0.05)
+        silent = len(new.term.ledger.unheard())
+        waited = world.now() - began
+        for worker in busy:
+            worker.cut = False
+        await world.until_over()
+        return world, waited, silent
+
+    world, waited, silent = run(day)
+    assert world.broken == []
+    assert silent >= 3 and waited < 3 * LIMITS["workers"]["report_s"]
+
+
 def test_a_takeover_calls_a_few_machines_at_a_time() -> None:
     async def day() -> tuple[int, int]:
         world = World(seed=2, most=60)
