--- a/src/salthead/transport/server.py
+++ b/src/salthead/transport/server.py
@@ -380,7 +380,9 @@
     node: Node, app: HTTPServerConnectionDelegate, endpoint: str, most: int = 0,
 ) -> BoundServer:
     host, port = split_endpoint(endpoint)
-    server = BoundServer(app, max_body_size=MAX_BODY, max_buffer_size=4 * MAX_BODY,
+    # A body and what follows it: all connections that the sockets allow, with their buffers full,
+    # still fit into the memory that the platform gives for that many.
+    server = BoundServer(app, max_body_size=MAX_BODY, max_buffer_size=2 * MAX_BODY,
                          idle_connection_timeout=120.0, body_timeout=10.0)
     server.open = Connections(most, FRESH_PERIODS * node.limits.workers.report_s, node.now)
     if isinstance(app, Door):
--- a/tests/test_scale.py
+++ b/tests/test_scale.py
@@ -6,6 +6,7 @@
 from __future__ import annotations
 
 import asyncio
+import json
 import random
 import sys
 from collections.abc import Callable
@@ -16,6 +17,7 @@
 from helpers import LIMITS, job, machine, ready, report, spec
 from salthead.coordination import fleet, placement
 from salthead.coordination.ledger import Ledger
+from salthead.term import OVERVIEW_ROWS
 from standins import World, run
 
 
@@ -139,6 +141,25 @@
         assert abs(seen[one_machine.name] / 4000 - share) < 0.04
 
 
+def test_the_overview_of_a_thousand_machines_fits_into_an_answer() -> None:
+    async def day() -> dict[str, Any]:
+        world = World(seed=1)
+        while (leader := world.leader()) is None or not leader.term.ledger.loaded:
+            await asyncio.sleep(0.05)
+        led = leader.term.ledger
+        for n in range(1000):
+            found = machine(led, f"host-{n:06d}", world.now(), baton=led.token)
+            found.condemned, found.warn_at = "fails its tasks", world.now()
+            led.keep(found, f"req-{n:06d}", world.now() + 60.0)
+            job(led, uid=f"req-{n:06d}", crew="blue", breed="b" * 60, pieces=100_000)
+        return dict(leader.term.overview())
+
+    found = run(day)
+    assert found["jobs_total"] == found["machines_total"] == 1000
+    assert len(found["jobs"]) == len(found["machines"]) == OVERVIEW_ROWS
+    assert len(json.dumps(found)) < 64 * 1024
+
+
 def test_the_silent_hold_up_no_others() -> None:
     # Half of the fleet is cut off and the leader ends: what comes then starts on the other half
     # while the leases of the silent run on, as far as the team's limit allows if all that is
