--- a/src/salthead/coordination/fleet.py
+++ b/src/salthead/coordination/fleet.py
@@ -29,7 +29,7 @@
 # After a refusal the same kind is asked for again with doubling pauses.
 REFUSED_S, REFUSED_MAX_S = 5.0, 40.0
 HIRE_MOST = 50
-# A line of work for this part of a boot counts once it has lasted for as long, while no more than
+# A line longer than a boot counts once it has lasted for this part of a boot, while no more than
 # this part of the fleet is still on its way.
 LINE_BOOTS, LINE_BOOTING = 0.5, 0.25
 # Up to this part of the roster, silence after a takeover is the machines' own fault.
@@ -166,18 +166,12 @@
     return min((flavor.boot_s for flavor in ledger.flavors.values()), default=0.0)
 
 
-def horizon(ledger: Ledger) -> float:
-    """Work that the fleet gets to before a new machine would be up needs no new machine."""
-    return max(LEAST_CHARGE_S, least_boot_s(ledger))
+def horizon(ledger: Ledger, line: list[Job], now: float) -> float:
+    """Work that the fleet gets to before a new machine would be up needs no new machine.
 
-
-def long_line(ledger: Ledger, line: list[Job], now: float) -> bool:
-    """Whether the line has lasted for longer than the fleet will ever get ahead of.
-
-    Work that is under way counts as room and short tasks share a place, so that a fleet that is
-    booked out looks large enough however many wait. Seen on loss, moana-buoys-fleet: 12,000 tasks
-    waited for up to a minute, with deadlines of fifty seconds, beside 1,700 CPUs that were not
-    hired; on zone, prairie-ledger-fleet: 2,000 to 3,000 for four minutes beside 64 to 120 machines.
+    Nor is one worth its least charge for less work than that, unless the line stays longer than a
+    boot. Seen on loss, moana-buoys-fleet: 12,000 tasks waited for up to a minute, with deadlines of
+    fifty seconds, beside 1,700 CPUs that were not hired.
     """
     boot_s = least_boot_s(ledger)
     work = sum(
@@ -187,19 +181,19 @@
     booting = sum(m.cap[0] for m in ledger.machines.values() if m.phase == BOOTING)
     # One array that comes, or a fleet that begins to boot, has a long line, too: what is hired for
     # that comes too late, and what is then too much was given back too deep.
-    if work <= LINE_BOOTS * boot_s * rate or booting > LINE_BOOTING * rate:
+    if work <= boot_s * rate or booting > LINE_BOOTING * rate:
         ledger.long_line_since = None
-        return False
+        return max(LEAST_CHARGE_S, boot_s)
     if ledger.long_line_since is None:
         ledger.long_line_since = now
-    return now - ledger.long_line_since >= LINE_BOOTS * boot_s
+    lasts = now - ledger.long_line_since >= LINE_BOOTS * boot_s
+    return boot_s if lasts else max(LEAST_CHARGE_S, boot_s)
 
 
-def supply(
-    ledger: Ledger, now: float, coming: dict[Kind, int], soon_s: float,
-) -> list[Slot]:
-    """Room that is free, or will be so soon."""
+def supply(ledger: Ledger, now: float, coming: dict[Kind, int]) -> list[Slot]:
+    """Room that is free, or will be by the time that a new machine could be up."""
     slots: list[Slot] = []
+    soon_s = 0.7 * least_boot_s(ledger)
     runs = {job.uid: ledger.estimates.run_s(job.spec.breed, job.spec.guess_s)
             for job in ledger.jobs.values()}
     for machine in ledger.machines.values():
@@ -242,19 +236,16 @@
     result = Plan()
     if not ledger.flavors:
         return result
+    slots = supply(ledger, now, coming)
     new: list[Slot] = []
-    within = placement.entitled(ledger)
-    line = placement.queue(ledger, within, now)
-    # By the time that a new machine could be up, at the latest; but room that is still taken is
-    # no answer to a line that lasts.
-    lasts = ledger.ready and long_line(ledger, line, now)
-    slots = supply(ledger, now, coming, 0.0 if lasts else 0.7 * least_boot_s(ledger))
     if ledger.ready:
         left: dict[int, list[float]] = {
             crew: [most[n] - ledger.usage[crew][n] for n in range(2)]
             for crew, most in enumerate(ledger.caps)
         }
-        span = least_boot_s(ledger) if lasts else horizon(ledger)
+        within = placement.entitled(ledger)
+        line = placement.queue(ledger, within, now)
+        span = horizon(ledger, line, now)
         pool = Pool(slots, min((job.need[0] for job in line), default=0.0))
         for job in line:
             _provide(ledger, job, pool, new, left[job.crew], span, refusals, now)
