--- a/src/salthead/cli.py
+++ b/src/salthead/cli.py
@@ -118,7 +118,8 @@
 
     def show_job(self, found: dict[str, Any]) -> None:
         counts = "".join(f", {found[k]} {k}" for k in ("done", "running") if found.get(k))
-        self.show(found, f"{found['uid']}: {found['phase']}{counts}")
+        waits = f", waits for {', '.join(found['awaits'])}" if found.get("awaits") else ""
+        self.show(found, f"{found['uid']}: {found['phase']}{counts}{waits}")
 
     def wait(self, uid: str) -> NoReturn:
         """Poll until the job is over; the exit code says how it ended."""
@@ -217,6 +218,8 @@
 @service_options
 @field_options
 @click.option("--build", "builds", multiple=True, help="Allowed machine type; may be repeated.")
+@click.option("--awaits", multiple=True, metavar="UID",
+              help="Job that has to be done before this one starts; may be repeated.")
 @click.option("--same-place", is_flag=True, help="All tasks in one zone.")
 @click.option("--apart", is_flag=True, help="At most half of the tasks in one zone.")
 @click.option("--borrowed", is_flag=True, help="Spot machines may be used.")
@@ -224,14 +227,21 @@
               help="Job file, TOML or .json, with the fields; flags go before it.")
 @click.option("--wait", is_flag=True, help="Wait until the job is over.")
 def submit(
-    service: Service, builds: tuple[str, ...], path: Path | None, wait: bool, **given: Any
+    service: Service, builds: tuple[str, ...], awaits: tuple[str, ...], path: Path | None,
+    wait: bool, **given: Any
 ) -> None:
-    """Submit a job."""
+    """Submit a job.
+
+    A job may await others that were accepted before: it starts once all of them are done, and is
+    cancelled with any of them.
+    """
     job: dict[str, Any] = dict(DEFAULTS)
     job |= read_job(path) if path else {}
     job |= {name: value for name, value in given.items() if value not in (None, False)}
     if builds:
         job["builds"] = list(builds)
+    if awaits:
+        job["awaits"] = list(awaits)
     # Random, so that two users do not meet; the same id is used for every try.
     job.setdefault("uid", f"req-{int.from_bytes(os.urandom(7), 'big'):017d}")
     status, found = service.ask("POST", "/work", job)
@@ -285,8 +295,10 @@
              f"{'ready' if found['ready'] else 'taking over'}", "", "teams:"]
     lines += table(found["teams"], ("name", "cpus", "guaranteed", "most"))
     lines += ["", f"jobs ({found['jobs_total']}):"]
-    lines += table(found["jobs"], ("uid", "crew", "breed", "urgency", "phase", "waiting",
-                                   "running", "done", "pieces"))
+    # An earlier version that leads does not name what jobs await.
+    rows = [job | {"awaits": " ".join(job.get("awaits") or [])} for job in found["jobs"]]
+    lines += table(rows, ("uid", "crew", "breed", "urgency", "phase", "waiting",
+                          "running", "done", "pieces", "awaits"))
     lines += ["", f"machines ({found['machines_total']}):"]
     lines += table(found["machines"], ("name", "build", "zone", "kind", "phase", "cpus", "used",
                                        "note"))
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -45,8 +45,13 @@
     }
 
 
-def settings(member: str = "n0", others: tuple[str, ...] = ()) -> Settings:
-    return msgspec.convert(settings_tree(member, others), Settings)
+def settings(
+    member: str = "n0", others: tuple[str, ...] = (), kind: Any = Settings, **state: Any
+) -> Any:
+    """Settings of this version, or of ``kind``, with changes to the state service's limits."""
+    tree = settings_tree(member, others)
+    tree["settings"] = LIMITS | {"state": LIMITS["state"] | state}
+    return msgspec.convert(tree, kind)
 
 
 def spec(uid: str = "req-1", **changes: Any) -> Submission:
--- a/tests/local_setup.py
+++ b/tests/local_setup.py
@@ -95,6 +95,7 @@
             f'{k} = "{v}"' if isinstance(v, str) else f"{k} = {v}" for k, v in team.items()]
     for group in ("workers", "state", "cloud"):
         lines += [f"[settings.{group}]"] + [f"{k} = {v}" for k, v in LIMITS[group].items()]
+    lines += ["[settings.state.next]", "value_kb = 2.0", "txn_ops = 4", "write_rps = 15.0"]
     path.write_text("\n".join(lines) + "\n")
 
 
--- /dev/null
+++ b/tests/production.py
@@ -0,0 +1,139 @@
+"""The version in production, taken from the repository's history, beside this one.
+
+``deploy/service.toml`` names its commit. Its sources are laid out under ``target/`` as a package of
+another name, so that both versions can be imported by one process and talk to each other in the
+stand-ins. Without the history the tests that need it fail, and say so.
+
+    python3 tests/production.py        makes tests/fixtures/production.json anew from that commit
+"""
+
+from __future__ import annotations
+
+import functools
+import importlib
+import io
+import json
+import re
+import subprocess
+import sys
+import tarfile
+import tomllib
+from dataclasses import dataclass
+from pathlib import Path
+from typing import Any
+
+ROOT = Path(__file__).resolve().parent.parent
+FIXTURES = ROOT / "tests" / "fixtures" / "production.json"
+NAME = "salthead_production"
+
+
+def commit() -> str:
+    found = tomllib.loads((ROOT / "deploy" / "service.toml").read_text())["production"]
+    return str(found)
+
+
+def lay_out() -> Path:
+    """The package at that commit, under another name."""
+    folder = ROOT / "target" / "production" / commit()
+    if not (folder / "whole").exists():
+        done = subprocess.run(
+            ["git", "-C", str(ROOT), "archive", commit(), "src/salthead"], capture_output=True)
+        if done.returncode != 0:
+            raise RuntimeError(
+                f"the history lacks {commit()}, the version in production: "
+                f"{done.stderr.decode().strip()}; fetch the whole history")
+        with tarfile.open(fileobj=io.BytesIO(done.stdout)) as tar:
+            for member in tar.getmembers():
+                if member.isfile() and member.name.endswith(".py"):
+                    path = folder / NAME / Path(member.name).relative_to("src/salthead")
+                    path.parent.mkdir(parents=True, exist_ok=True)
+                    file = tar.extractfile(member)
+                    assert file is not None
+                    text = file.read().decode()
+                    path.write_text(re.sub(r"\b(from|import) salthead\b", rf"\1 {NAME}", text))
+        (folder / "whole").touch()
+    return folder
+
+
+@dataclass(frozen=True)
+class Version:
+    """What the stand-ins and the tests use of one version."""
+
+    package: str
+
+    def module(self, name: str) -> Any:
+        return importlib.import_module(f"{self.package}.{name}")
+
+    @property
+    def node(self) -> Any:
+        return self.module("service").Node
+
+    @property
+    def settings(self) -> Any:
+        return self.module("settings").Settings
+
+    @property
+    def unanswered(self) -> type[Exception]:
+        return self.module("transport.client").Unanswered  # type: ignore[no-any-return]
+
+    @property
+    def cant_now(self) -> tuple[type[Exception], ...]:
+        return self.module("transport.server").CANT_NOW  # type: ignore[no-any-return]
+
+    @property
+    def messages(self) -> Any:
+        return self.module("protocol.messages")
+
+    @property
+    def records(self) -> Any:
+        return self.module("bookkeeping.records")
+
+    @property
+    def pages(self) -> Any:
+        return self.module("bookkeeping.pages").Pages
+
+
+THIS = Version("salthead")
+
+
+@functools.cache
+def production() -> Version:
+    folder = str(lay_out())
+    if folder not in sys.path:
+        sys.path.append(folder)
+    return Version(NAME)
+
+
+def fixtures() -> dict[str, Any]:
+    """Records and messages as the production version writes them."""
+    old = production()
+    records, messages = old.records, old.messages
+    spec = messages.shape({
+        "uid": "req-000041", "breed": "b", "crew": "blue", "shape": "array", "urgency": "normal",
+        "pieces": 900, "vcpus": 2.0, "ram_gb": 4.0, "guess_s": 20.0, "at": 1000.0, "due_s": 90.0,
+        "builds": ["small"], "borrowed": True}, messages.Submission)
+    size = records.part_size(16.0)
+    done = [n for n in range(900) if n % 2 == 0 or n > 870]
+    parts = old.pages(records.PARTS, 16.0)
+    for part in range(900 // size + 1):
+        own = [n - part * size for n in done if n // size == part]
+        parts.set(records.part_name(spec.uid, part), records.to_ranges(own))
+    roster = old.pages(records.ROSTER, 16.0)
+    for n in range(400):
+        roster.set(f"host-{n:06d}", ["small", "north", n % 3 == 0, f"10.1.{n // 250}.{n % 250}:9"])
+    return {
+        "commit": commit(), "value_kb": 16.0, "done": done,
+        "job": records.job_value(spec), "over": records.over_value(spec, "done"),
+        "parts": {parts.key(n): page for n, page in parts.pages.items()},
+        "roster": {roster.key(n): page for n, page in roster.pages.items()},
+        "flavors": {"builds": [{"name": "small", "vcpus": 8, "ram_gb": 32, "rate": 1.0,
+                                "paddocks": ["north"]}]},
+        "status": messages.status_body("req-000041", "running", 3, 4),
+    }
+
+
+if __name__ == "__main__":
+    sys.path[:0] = [str(ROOT / "target" / "deps")]
+    FIXTURES.parent.mkdir(exist_ok=True)
+    FIXTURES.write_text(json.dumps(fixtures(), separators=(",", ":"), sort_keys=True) + "\n")
+    print(f"{FIXTURES.relative_to(ROOT)} from {commit()}")
--- a/tests/standins.py
+++ b/tests/standins.py
@@ -9,6 +9,7 @@
 
 import asyncio
 import contextlib
+import json
 import random
 import selectors
 from collections.abc import Callable, Coroutine
@@ -17,17 +18,11 @@
 
 import cbor2
 
+import production
 from helpers import FLAVORS, LIMITS, settings
-from salthead.protocol.messages import (
-    Malformed,
-    Submission,
-    decode_report,
-    decode_submission,
-    encode,
-)
+from salthead.protocol.messages import Malformed, Submission, encode
 from salthead.service import Node, Rejected
 from salthead.transport.client import Answer, Unanswered
-from salthead.transport.server import CANT_NOW
 
 
 class _Jump(selectors.DefaultSelector):
@@ -78,6 +73,34 @@
         self.down = False
         self.changed = asyncio.Event()
         self.tethers = 0
+        # Larger values and transactions are refused, and changes beyond the rate put off.
+        self.limits: dict[str, Any] = dict(LIMITS["state"])
+        self.refused: list[str] = []
+        self.level, self.level_at = self.limits["write_rps"], world.now()
+        self.sizes: dict[str, int] = {}  # the longest value of each kind of key
+
+    def _within(self, apply: list[dict[str, Any]]) -> int:
+        """0, or the status with which the limits refuse a transaction."""
+        limits = self.limits
+        if len(apply) > limits["txn_ops"]:
+            self.refused.append(f"{len(apply)} changes: {apply[0]}")
+            return 400
+        for change in apply:
+            if "set" not in change:
+                continue
+            size = len(json.dumps(change["value"]))
+            kind = change["set"].split("/")[0]
+            self.sizes[kind] = max(size, self.sizes.get(kind, 0))
+            if size > limits["value_kb"] * 1024:
+                self.refused.append(f"{size} bytes: {change['set']}")
+                return 400
+        now, rate = self.world.now(), limits["write_rps"]
+        self.level = min(rate, self.level + (now - self.level_at) * rate)
+        self.level_at = now
+        if self.level < len(apply):
+            return 429
+        self.level -= len(apply)
+        return 0
 
     def _note(self, change: dict[str, Any]) -> None:
         self.log.append(change)
@@ -138,7 +161,8 @@
         return self.txn(body)
 
     def txn(self, body: Any) -> Answer:
-        assert len(body["apply"]) <= LIMITS["state"]["txn_ops"]
+        if status := self._within(body["apply"]):
+            return Answer(status, {})
         failed = [c["path"] for c in body["when"]
                   if (self.keys[c["path"]][1] if c["path"] in self.keys else 0) != c["stamp"]]
         if any(c.get("tether") is not None and c["tether"] not in self.grants
@@ -307,8 +331,11 @@
 class Dial:
     """What a node uses in place of HTTP calls."""
 
-    def __init__(self, world: World, source: str, endpoint: str, slots: int) -> None:
+    def __init__(
+        self, world: World, source: str, endpoint: str, slots: int, unanswered: type[Exception],
+    ) -> None:
         self.world, self.source, self.endpoint = world, source, endpoint
+        self.unanswered = unanswered
         self.life = world.lives.get(source, 0)
 
     async def call(
@@ -318,9 +345,12 @@
         while self.source in self.world.frozen:
             await asyncio.sleep(0.05)
         if self.life != self.world.lives.get(self.source, 0):
-            raise Unanswered("this process has been killed")
-        return await self.world.call(
-            self.source, endpoint or self.endpoint, method, path, body, timeout, query or {})
+            raise self.unanswered("this process has been killed")
+        try:
+            return await self.world.call(
+                self.source, endpoint or self.endpoint, method, path, body, timeout, query or {})
+        except Unanswered as error:
+            raise self.unanswered(str(error)) from None
 
     def close(self) -> None:
         pass
@@ -329,7 +359,11 @@
 class World:
     def __init__(
         self, nodes: int = 3, seed: int = 1, most: int = 12, areas: dict[str, str] | None = None,
+        version: production.Version = production.THIS, **state: Any,
     ) -> None:
+        self.version = version  # with which processes start; each keeps its own
+        self.versions: dict[str, production.Version] = {}
+        self.state_settings = state  # changes to the settings' limits of the state service
         self.loop = asyncio.get_running_loop()
         self.rng = random.Random(seed)
         self.counter = 0
@@ -347,6 +381,7 @@
         self.loss = 0.0  # part of the calls that are executed without an answer
         self.late: Callable[[str, str], float] = lambda source, path: 0.0
         self.specs: dict[str, Submission] = {}
+        self.asked: set[str] = set()  # jobs that somebody asked to cancel
         self.cancelled: dict[str, float] = {}
         self.told: dict[str, str] = {}
         self.done: set[str] = set()
@@ -370,10 +405,12 @@
 
     def boot(self, name: str) -> None:
         others = tuple(other for other in self.names if other != name)
-        own = settings(name, others)
+        version = self.versions[name] = self.version
+        own = settings(name, others, version.settings, **self.state_settings)
         own.area = self.area(name)
-        node = Node(own, random.Random(self.rng.random()),
-                    now=self.loop.time, dial=lambda e, slots: Dial(self, name, e, slots))
+        node = version.node(
+            own, random.Random(self.rng.random()), now=self.loop.time,
+            dial=lambda e, slots: Dial(self, name, e, slots, version.unanswered))
         self.nodes[name] = node
         self.running[name] = self.loop.create_task(node.run())
 
@@ -458,12 +495,14 @@
         node = self.nodes[name]
         if node is None:
             raise Unanswered("refused")
+        version = self.versions[name]
         if path == "/peer/knocks":
             return Answer(200, node.knocks_body())
         if path == "/peer/submit":
             try:
-                status, found = await node.submit(decode_submission(encode(body)), True)
-            except CANT_NOW:
+                status, found = await node.submit(
+                    version.messages.decode_submission(encode(body)), True)
+            except version.cant_now:
                 return Answer(503, {})
             return Answer(status, found)
         if path == "/peer/promise":
@@ -475,7 +514,7 @@
         try:
             found = await (term.cancel(body["uid"]) if path == "/peer/cancel"
                            else node.poll_here(term, body["uid"]))
-        except CANT_NOW:
+        except version.cant_now:
             return Answer(503, {})
         return Answer(404, {}) if found is None else Answer(200, found)
 
@@ -500,7 +539,7 @@
             copy = asyncio.create_task(self.repeat(message, late))
             self.pending.add(copy)
             copy.add_done_callback(self.pending.discard)
-        answer = found.on_report(decode_report(message))
+        answer = found.on_report(self.versions[name].messages.decode_report(message))
         if worker.deaf:
             await asyncio.sleep(60.0)
         return answer
@@ -511,43 +550,62 @@
             await asyncio.sleep(0.05)
         node = self.nodes[name]
         if node is not None:
-            status, body = node.on_report(decode_report(message))
+            status, body = node.on_report(self.versions[name].messages.decode_report(message))
             if status == 200 and node.leading() is None and body["orders"] != []:
                 self.broken.append(f"orders of {name}, which does not lead")
 
     async def repeat(self, message: bytes, late: float) -> None:
         """A copy of a report that arrives at all nodes, late; nobody reads the answers."""
         await asyncio.sleep(late)
-        for node in list(self.nodes.values()):
+        for name, node in list(self.nodes.items()):
             if node is not None:
-                node.on_report(decode_report(message))
+                node.on_report(self.versions[name].messages.decode_report(message))
 
     # -- users
 
     async def user(self, work: Callable[[Node], Coroutine[Any, Any, Any]]) -> Any:
         """Ask some node that is up until it decides."""
         for _ in range(200):
-            ups = [n for n in self.nodes.values() if n is not None]
+            ups = [name for name, node in self.nodes.items() if node is not None]
             if ups:
-                try:
-                    return await work(self.rng.choice(ups))
-                except CANT_NOW:
-                    pass
+                name = self.rng.choice(ups)
+                node = self.nodes[name]
+                assert node is not None
+                with contextlib.suppress(*self.versions[name].cant_now):
+                    return await work(node)
             await asyncio.sleep(1.0)
         raise AssertionError("no node ever decided")
 
     async def submit(self, job: Submission) -> int:
         self.specs[job.uid] = job
+
+        def ask(node: Node) -> Coroutine[Any, Any, Any]:
+            messages = self.versions[node.settings.member].messages
+            return node.submit(messages.decode_submission(encode(job)))
+
         try:
-            status, _ = await self.user(lambda n: n.submit(decode_submission(encode(job))))
+            status, found = await self.user(ask)
         except Malformed:
             return 400
         except Rejected:
             return 422
         self.told.setdefault(job.uid, "queued")
+        self.hear(job.uid, found["phase"])
         return int(status)
 
+    def needed(self, uid: str) -> set[str]:
+        """All jobs that a job needs, directly or through others."""
+        found: set[str] = set()
+        line = list(self.specs[uid].awaits or [])
+        while line:
+            one = line.pop()
+            if one not in found:
+                found.add(one)
+                line += self.specs[one].awaits or []
+        return found
+
     async def cancel(self, uid: str) -> str:
+        self.asked.add(uid)
         found = await self.user(lambda n: n.cancel(uid))
         self.hear(uid, found["phase"])
         if found["phase"] == "aborted":
@@ -571,6 +629,13 @@
             self.broken.append(f"invented {uid}")
             return
         before = self.told.get(uid)
+        roots = [self.cancelled[one] for one in self.needed(uid) if one in self.cancelled]
+        if phase in ("queued", "running") and roots and (
+            self.now() > min(roots) + LIMITS["workers"]["cancel_s"]
+        ):
+            self.broken.append(f"orphaned {uid}")
+        if phase == "aborted" and uid not in self.asked and not self.asked & self.needed(uid):
+            self.broken.append(f"went_back {uid}: nobody cancelled it or what it needs")
         if before in ("done", "aborted") and phase != before:
             self.broken.append(f"went_back {uid}: {before} to {phase}")
         if phase == "done" and not all(
@@ -625,6 +690,10 @@
         self.begun.setdefault(uid, self.now())
         spec = self.specs[uid]
         there = self.on_machines()
+        early = [one for one in spec.awaits or [] if not all(
+            f"{one}/{n}" in self.done for n in range(self.specs[one].pieces))]
+        if early:
+            self.broken.append(f"too_early {piece}: {early} not done")
         if any(other == piece for _, other in there):
             self.broken.append(f"ran_twice {piece}")
         if (worker.borrowed and not spec.borrowed) or (
--- /dev/null
+++ b/tests/test_pipelines.py
@@ -0,0 +1,469 @@
+"""Jobs that await others: the graph alone, the ledger, and whole days against the stand-ins."""
+
+from __future__ import annotations
+
+import asyncio
+import math
+import random
+from typing import Any
+
+import pytest
+
+import test_days
+from helpers import job, machine, ready, report, settings, spec
+from salthead.bookkeeping import records
+from salthead.coordination import fleet, order, placement, preemption
+from salthead.coordination.ledger import Ledger
+from salthead.coordination.pipelines import Pipelines
+from salthead.protocol import names
+from salthead.service import Node
+from standins import World, run
+
+NEVER = (math.inf, math.inf)
+CHAIN = {"a": [], "b": ["a"], "c": ["b"]}
+DIAMOND = {"a": [], "b": ["a"], "c": ["a"], "d": ["b", "c"]}
+SHARED = {"a": [], "b": ["a"], "c": ["a"], "x": [], "y": ["x", "a"]}
+
+
+def graph(
+    jobs: dict[str, list[str]], ranks: dict[str, int] | None = None,
+    dues: dict[str, float] | None = None,
+) -> Pipelines:
+    made = Pipelines()
+    for uid, awaits in jobs.items():
+        due = (dues or {}).get(uid)
+        made.add(uid, awaits, (ranks or {}).get(uid, 3), "b", 10.0,
+                 NEVER if due is None else (due, due + 50.0))
+    return made
+
+
+@pytest.mark.parametrize(
+    ("jobs", "done", "ready"),
+    [
+        (CHAIN, "a", [["b"]]),
+        (CHAIN, "ab", [["b"], ["c"]]),
+        (DIAMOND, "abc", [["b", "c"], [], ["d"]]),
+        (SHARED, "ax", [["b", "c"], ["y"]]),
+        (SHARED, "xa", [[], ["b", "c", "y"]]),
+        # what was never heard of is unsure until its end is known
+        ({"b": ["z"], "c": ["z", "b"]}, "zb", [["b"], ["c"]]),
+    ],
+)
+def test_the_end_of_what_it_awaits_wakes_a_job(
+    jobs: dict[str, list[str]], done: str, ready: list[list[str]],
+) -> None:
+    made = graph(jobs)
+    assert [made.done(uid, 1.0) for uid in done] == ready
+
+
+@pytest.mark.parametrize(
+    ("jobs", "root", "doomed"),
+    [
+        (CHAIN, "a", "bc"), (CHAIN, "b", "c"), (CHAIN, "c", ""), (DIAMOND, "a", "bcd"),
+        (DIAMOND, "b", "d"), (SHARED, "x", "y"), (SHARED, "a", "bcy"),
+        ({"b": ["z"], "c": ["b"]}, "z", "bc"),
+    ],
+)
+def test_a_cancelled_root_dooms_all_that_needs_it(
+    jobs: dict[str, list[str]], root: str, doomed: str,
+) -> None:
+    made = graph(jobs)
+    assert "".join(sorted(made.aborted(root))) == doomed
+    assert not set(doomed) & made.nodes.keys()
+    left = set(jobs) - set(doomed) - {root}
+    assert set(made.nodes) == left and not made.unsure
+    assert all(set(made.nodes[uid].after) <= left for uid in left)
+
+
+@pytest.mark.parametrize(
+    ("jobs", "ranks", "dues", "expected"),
+    [
+        (CHAIN, {"c": 1}, {"c": 100.0}, {"a": (1, 80.0), "b": (1, 90.0), "c": (1, 100.0)}),
+        # the nearest of several paths
+        (DIAMOND | {"e": ["c"], "f": ["e"]}, {"d": 1, "f": 0}, {"d": 100.0, "f": 100.0},
+         {"a": (0, 70.0), "b": (1, 90.0), "c": (0, 80.0)}),
+        (SHARED, {"c": 2, "y": 1}, {"c": 50.0, "y": 90.0}, {"a": (1, 40.0), "x": (1, 80.0)}),
+        # its own is nearer than what comes after it
+        (CHAIN, {"b": 0, "c": 1}, {"b": 30.0, "c": 100.0}, {"a": (0, 20.0), "b": (0, 30.0)}),
+    ],
+)
+def test_rank_and_due_time_are_inherited_backwards(
+    jobs: dict[str, list[str]], ranks: dict[str, int], dues: dict[str, float],
+    expected: dict[str, tuple[int, float]],
+) -> None:
+    made = graph(jobs, ranks, dues)
+    for uid, (rank, due) in expected.items():
+        node = made.nodes[uid]
+        assert (node.inherited_rank, node.inherited_due) == (rank, (due, due + 50.0)), uid
+    assert expected.keys() - {"c", "b"} <= set(made.moved)
+
+
+def test_inheritance_goes_with_the_job_that_it_came_from_and_follows_estimates() -> None:
+    made = graph(DIAMOND | {"e": ["c"]}, {"d": 1, "e": 2}, {"d": 100.0, "e": 300.0})
+    made.revise([("c", 25.0), ("b", 25.0)])
+    assert made.nodes["a"].inherited_due[0] == 65.0
+    assert made.aborted("d") == []
+    assert made.nodes["a"].inherited_rank == 2 and made.nodes["b"].inherited_rank == 3
+    assert made.nodes["b"].inherited_due == NEVER
+    assert made.nodes["a"].inherited_due[0] == 300.0 - 10.0 - 25.0
+    made.done("a", 1.0)
+    made.done("c", 2.0)
+    assert made.breeds == {} and not made.unsure
+
+
+def test_a_job_is_unsure_while_one_that_it_needs_is() -> None:
+    made = graph({"b": ["z"], "c": ["b"], "d": []})
+    assert [made.is_unsure(uid) for uid in "bcd"] == [True, True, False]
+    made.done("z", 1.0)
+    assert not made.is_unsure("c")
+
+
+# -- the ledger ---------------------------------------------------------------------------
+
+
+def pipeline(led: Ledger, now: float = 0.0, **last: Any) -> None:
+    job(led, now, uid="req-1", pieces=1, at=now)
+    job(led, now, uid="req-2", pieces=4, awaits=["req-1"], at=now, shape="gang", urgency="idle")
+    job(led, now, uid="req-3", pieces=1, awaits=["req-2"], at=now, **last)
+
+
+def test_a_waiting_job_holds_no_quota_guarantee_room_or_machine() -> None:
+    led = ready()
+    pipeline(led)
+    job(led, uid="req-9", pieces=8, vcpus=2.0, at=1.0)  # fits into the guarantee only alone
+    assert placement.entitled(led) == {"req-1"} if led.jobs["req-9"].size()[0] > 14 else True
+    assert {one.uid for one in placement.queue(led, set(), 300.0)} == {"req-1", "req-9"}
+    led.jobs["req-9"].doomed = True
+    plan = fleet.plan(led, 300.0, fleet.Refusals(), {})
+    assert sum(plan.hires.values()) == 1, "for req-1 alone"
+    waiting = led.jobs["req-2"]
+    assert not order.overdue(waiting, 1000.0) or not waiting.waiting()
+
+
+def test_it_starts_when_the_end_of_the_last_is_durable_and_counts_from_then() -> None:
+    led = ready()
+    machine(led, "m1")
+    pipeline(led)
+    placement.place(led, random.Random(1), 0.0)
+    first = led.jobs["req-1"]
+    led.on_report(report("m1", 2, ("req-1/0", first.bindings[0].attempt, "exited", "done")), 90.0)
+    assert first.complete and led.jobs["req-2"].waiting() == 0, "done, but not durably"
+    assert led.phase_of(led.jobs["req-2"])[0] == "queued"
+    led.end_job(first, names.DONE, 91.0)
+    second = led.jobs["req-2"]
+    assert second.waiting() == 4 and second.since == 91.0 and second.fresh
+    assert not led.jobs["req-3"].waiting()
+    assert not order.reserving(second, 140.0), "a minute counts from when it could begin"
+    # Later terms know it from the record; a clock ahead of ours does not make it younger.
+    later = ready(200.0)
+    later.wall_ahead = 1000.0
+    job(later, 200.0, uid="req-2", awaits=["req-1"], at=1005.0)
+    later.settle("req-1", names.DONE, 1091.0, 200.0)
+    assert later.jobs["req-2"].since == 91.0 and not later.jobs["req-2"].fresh
+    job(later, 200.0, uid="req-4", awaits=["req-5"], at=1005.0)
+    later.settle("req-5", names.DONE, 1999.0, 201.0)
+    assert later.jobs["req-4"].since == 201.0
+
+
+def test_the_last_job_lends_its_urgency_and_due_time_to_those_before_it() -> None:
+    led = ready(objectives=[{"kind": "deadline", "class": "b", "share": 0.9, "times": t}
+                            for t in (1.0, 1.5)])
+    machine(led, "m1")
+    other = job(led, uid="req-8", pieces=4, urgency="normal", crew="red")
+    placement.place(led, random.Random(1), 0.0)
+    assert len(other.bindings) == 4 and led.ranks == [0, 0, 4, 0]
+    pipeline(led, urgency="idle")
+    assert led.jobs["req-1"].rank == 2 and led.jobs["req-1"].due == NEVER
+    job(led, uid="req-7", awaits=["req-3", "req-8"], urgency="prod", due_s=100.0, at=0.0)
+    first = led.jobs["req-1"]
+    assert first.rank == 0 and led.ranks == [4, 0, 0, 0], "what runs counts by its new rank"
+    # run times of three after it: 20 s each, and it runs for 20 s itself
+    assert first.due[0] == 100.0 - 60.0 and first.due[1] == 150.0 - 60.0
+    assert order.target(led, first, 20.0, 0.0) == 20.0
+    assert order.target(led, first, 20.0, 30.0) == 70.0, "late, but the last that counts is not"
+    # Others of a lower rank are stopped for what inherits a higher one.
+    low = job(led, uid="req-6", urgency="urgent", crew="blue")
+    binding = led.bind(low, 0, led.machines["m1"], 99, 0.0)
+    assert preemption.may_stop(led, first, binding, set(), 0.0)
+    led.end_job(led.jobs["req-7"], names.ABORTED, 5.0)
+    assert first.rank == 2 and first.due == NEVER and led.ranks == [0, 1, 4, 0]
+
+
+def test_estimates_that_move_move_due_times() -> None:
+    led = ready()
+    pipeline(led, due_s=100.0)
+    assert led.jobs["req-1"].due[0] == 60.0
+    for _ in range(200):
+        led.estimates.learn("b", 20.0, 30.0)
+    led.tick(1.0)
+    run_s = led.estimates.run_s("b", 20.0)
+    assert run_s > 28.0 and led.jobs["req-1"].due[0] == pytest.approx(100.0 - 2 * run_s)
+
+
+def test_what_needs_a_cancelled_job_is_told_at_once_and_never_starts() -> None:
+    led = ready()
+    machine(led, "m1")
+    pipeline(led)
+    led.end_job(led.jobs["req-1"], names.ABORTED, 1.0)
+    assert [led.phase_of(one)[0] for one in led.jobs.values()] == ["aborted"] * 2
+    assert list(led.doomed) == ["req-2", "req-3"], "to be written, the first that needs it first"
+    # One that comes now, before those are written.
+    late = job(led, uid="req-4", awaits=["req-3"])
+    assert late.doomed and not late.waiting()
+    placement.place(led, random.Random(1), 2.0)
+    assert not led.machines["m1"].bindings
+    assert led.on_report(report("m1", 2, ("req-2/0", 5, "running")), 3.0) == [
+        {"verb": "stop", "piece": "req-2/0", "try": 5, "leeway_s": 0.0}]
+
+
+# -- a node alone -------------------------------------------------------------------------
+
+
+def records_of(*jobs: Any, over: dict[str, str] | None = None) -> dict[str, Any]:
+    rows: dict[str, Any] = {}
+    for one in jobs:
+        if one.uid in (over or {}):
+            rows[records.over_key(one.uid)] = records.over_value(one, (over or {})[one.uid], 5.0)
+        else:
+            rows |= dict(records.job_rows(one, 2.0, 4))
+    return rows
+
+
+LINE = [spec("req-1")] + [spec(f"req-{n}", awaits=[f"req-{n - 1}"]) for n in range(2, 40)]
+
+
+@pytest.mark.parametrize(
+    ("over", "asked", "phase"),
+    [
+        ({}, "req-3", "queued"),
+        ({"req-1": "aborted"}, "req-3", "aborted"),
+        ({"req-1": "done"}, "req-3", "queued"),
+        ({"req-1": "done", "req-2": "aborted"}, "req-4", "aborted"),
+        # deep: the active jobs are read at once
+        ({}, "req-39", "queued"), ({"req-1": "aborted"}, "req-39", "aborted"),
+    ],
+)
+def test_any_node_derives_the_end_from_the_one_durable_fact(
+    over: dict[str, str], asked: str, phase: str,
+) -> None:
+    async def day() -> tuple[Any, int]:
+        world = World(nodes=0)
+        for key, value in records_of(*LINE, over=over).items():
+            world.state.keys[key] = (value, 1, None)
+        world.boot("n0")
+        node = world.nodes["n0"]
+        assert node is not None
+        count = 0
+        inner = world.state.handle
+
+        async def handle(*args: Any) -> Any:
+            nonlocal count
+            count += args[1].startswith("/keys")
+            return await inner(*args)
+
+        world.state.handle = handle  # type: ignore[method-assign]
+        found = await node.read(asked)
+        return found, count
+
+    found, reads = run(day)
+    assert found["phase"] == phase
+    assert reads < 40, "a deep line takes no read for each job"
+
+
+@pytest.mark.parametrize(
+    ("change", "status"),
+    [
+        ({"awaits": ["req-1", "req-2"]}, 201),
+        ({"awaits": ["req-1", "req-1"]}, 201),
+        ({"awaits": []}, 201),
+        ({"awaits": None}, 201),
+        ({"awaits": ["req-999"]}, 422),
+        ({"awaits": ["nonsense"]}, 422),
+        ({"awaits": ["req-77"]}, 422),  # itself
+        ({"awaits": "req-1"}, 400),
+        ({"awaits": [1]}, 400),
+        ({"uid": "req-1", "awaits": ["req-999"]}, 200),  # known, so nothing else is looked at
+        ({"awaits": [f"req-{n:06d}" for n in range(5000, 9000)]}, 422),
+    ],
+)
+def test_submissions_that_await(change: dict[str, Any], status: int) -> None:
+    async def day() -> int:
+        world = World()
+        await world.submit(spec("req-1"))
+        await world.submit(spec("req-2"))
+        if "awaits" in change and type(change["awaits"]) is list:
+            for uid in change["awaits"]:
+                world.specs.setdefault(str(uid), spec(str(uid)))
+        job = spec("req-77")
+        job.uid = change.get("uid", job.uid)
+        job.awaits = change["awaits"]
+        return await world.submit(job)
+
+    assert run(day) == status
+
+
+def test_a_submission_that_cant_be_checked_is_told_to_come_back() -> None:
+    async def day() -> None:
+        world = World()
+        await world.submit(spec("req-1"))
+        await asyncio.sleep(2.0)
+        world.state.down = True
+        node = world.nodes["n1"]
+        assert node is not None
+        began = world.now()
+        with pytest.raises(production_cant_now()):
+            await node.submit(spec("req-2", awaits=["req-1"]))
+        assert world.now() - began < 3.0
+
+    run(day)
+
+
+def production_cant_now() -> tuple[type[Exception], ...]:
+    from salthead.transport.server import CANT_NOW
+
+    return CANT_NOW
+
+
+def test_a_long_list_is_kept_in_several_values_and_read_back_by_any_leader() -> None:
+    uids = [f"req-{n:06d}" for n in range(100, 500)]
+
+    async def day() -> World:
+        world = World(next={"value_kb": 2.0, "txn_ops": 4, "write_rps": 15.0})
+        world.state.limits = {"txn_ops": 4, "value_kb": 2.0, "write_rps": 1000.0}
+        for uid in uids:
+            one = world.specs[uid] = spec(uid, pieces=1, vcpus=0.1, ram_gb=0.1, guess_s=1.0)
+            world.state.keys[records.job_key(uid)] = (records.job_value(one), 1, None)
+            world.told[uid] = "queued"
+        assert await world.submit(spec("req-1", awaits=uids, pieces=1, guess_s=1.0)) == 201
+        assert sum(key.startswith("awaits/") for key in world.state.keys) >= 2
+        await asyncio.sleep(8.0)
+        for _ in range(2):
+            leader = world.leader()
+            assert leader is not None
+            await world.crash(leader.settings.member)
+            world.boot(leader.settings.member)
+            await asyncio.sleep(5.0)
+        await world.until_over(900.0)
+        await asyncio.sleep(15.0)
+        return world
+
+    world = run(day)
+    assert world.broken == [] and world.state.refused == []
+    assert world.told["req-1"] == "done"
+    assert not any(key.startswith("awaits/") for key in world.state.keys)
+
+
+# -- whole days ---------------------------------------------------------------------------
+
+STAGES = [
+    spec("req-1", pieces=4, guess_s=6.0),
+    spec("req-2", pieces=5, guess_s=8.0, awaits=["req-1"]),
+    spec("req-3", pieces=3, shape="gang", guess_s=7.0, awaits=["req-1"], same_place=True),
+    spec("req-4", pieces=2, guess_s=4.0, awaits=["req-2", "req-3"], urgency="urgent", due_s=90.0),
+    spec("req-5", pieces=2, guess_s=60.0),
+    spec("req-6", pieces=2, guess_s=4.0, awaits=["req-5", "req-1"]),
+    spec("req-7", pieces=2, guess_s=4.0, awaits=["req-6"], crew="red"),
+    spec("req-8", pieces=2, guess_s=4.0, awaits=["req-7", "req-4"]),
+]
+NEXT = {"value_kb": 2.0, "txn_ops": 4, "write_rps": 15.0}
+
+
+async def pipeline_day(world: World, trouble: Any, cancel_at: float) -> None:
+    task = asyncio.create_task(trouble(world))
+    for one in STAGES:
+        assert await world.submit(one) in (200, 201)
+        await asyncio.sleep(0.4)
+
+    async def cancel() -> None:
+        await asyncio.sleep(cancel_at)
+        told = await world.cancel("req-5")
+        # One that races the cancellation, by whichever node.
+        late = spec("req-9", awaits=["req-7", "req-2"])
+        assert await world.submit(late) == 201
+        assert told in ("aborted", "done")
+
+    async def lower() -> None:
+        await asyncio.sleep(11.0)
+        world.state.limits |= NEXT
+
+    async def watch() -> None:
+        while True:  # whoever asks at any moment hears nothing that is too old
+            await asyncio.sleep(3.0)
+            for uid in list(world.told):
+                await world.poll(uid)
+
+    watching = asyncio.create_task(watch())
+    await asyncio.gather(task, cancel(), lower())
+    world.trouble_until = world.now()
+    await world.until_over()
+    watching.cancel()
+    await asyncio.sleep(60.0)
+    assert not world.on_machines()
+
+
+TROUBLES = [
+    test_days.quiet, test_days.leader_crash, test_days.quick_restart, test_days.all_crash,
+    test_days.state_outage, test_days.outage_and_crash, test_days.refused_alone,
+    test_days.cut_off, test_days.lost_and_late, test_days.back_at_once, test_days.late_copies,
+    test_days.zones_apart,
+]
+
+
+@pytest.mark.parametrize("trouble", TROUBLES, ids=lambda trouble: trouble.__name__)
+@pytest.mark.parametrize("cancel_at", [14.0, 21.0])
+def test_a_day_of_pipelines_keeps_the_rules(trouble: Any, cancel_at: float) -> None:
+    async def day() -> World:
+        world = World(seed=int(cancel_at), next=NEXT)
+        await pipeline_day(world, trouble, cancel_at)
+        return world
+
+    world = run(day)
+    assert world.broken == [] and world.state.refused == []
+    assert world.told["req-4"] == "done"
+    if world.told["req-5"] == "aborted":
+        assert {world.told[f"req-{n}"] for n in (6, 7, 8, 9)} == {"aborted"}
+    else:
+        assert {world.told[f"req-{n}"] for n in (6, 7, 8, 9)} == {"done"}
+
+
+def test_the_leader_ends_just_after_it_told_a_cancellation_in_an_outage() -> None:
+    # What it told is one record; all that needs the job is aborted by whoever leads next, and told
+    # so by whoever is asked before that.
+    async def day() -> World:
+        world = World(seed=3, next=NEXT)
+        for one in [spec("req-1", guess_s=300.0)] + [
+            spec(f"req-{n}", awaits=[f"req-{n - 1}"]) for n in range(2, 30)
+        ]:
+            await world.submit(one)
+        await asyncio.sleep(4.0)
+        leader = world.leader()
+        assert leader is not None and leader.term is not None
+        name = leader.settings.member
+        found = await leader.cancel("req-1")
+        world.asked.add("req-1")
+        world.cancelled["req-1"] = world.now()
+        world.hear("req-1", found["phase"])
+        await world.crash(name)
+        world.state.down = True
+        await asyncio.sleep(60.0)  # longer than a cancellation has
+        world.state.back()
+        for other in world.names:
+            if world.nodes[other] is not None:
+                for n in (2, 15, 29):
+                    body = await world.user(lambda node, n=n: node.poll(f"req-{n}"))
+                    world.hear(f"req-{n}", body["phase"])
+        world.boot(name)
+        await world.until_over()
+        await asyncio.sleep(30.0)
+        return world
+
+    world = run(day)
+    assert world.broken == [] and world.state.refused == []
+    assert set(world.told.values()) == {"aborted"}
+    assert sum(key.startswith("job/") for key in world.state.keys) == 0
+
+
+def test_a_node_has_room_for_no_more_than_the_smaller_of_both_limits() -> None:
+    node = Node(settings(next={"value_kb": 2.0, "txn_ops": 100}), random.Random(1),
+                now=lambda: 0.0, dial=lambda e, slots: None)  # type: ignore[arg-type,return-value]
+    assert (node.kept.value_kb, node.kept.txn_ops, node.kept.write_rps) == (2.0, 8, 40.0)
