--- a/src/salthead/bookkeeping/store.py
+++ b/src/salthead/bookkeeping/store.py
@@ -6,6 +6,7 @@
 from typing import Any
 
 from salthead.protocol import names
+from salthead.protocol.messages import Malformed
 from salthead.transport.client import Answer, Caller, Unanswered
 from salthead.transport.limits import Budget
 
@@ -36,6 +37,10 @@
     """The change log no longer reaches back that far."""
 
 
+# What a loop that talks to the outside notes and tries again after.
+TROUBLES = (Refused, Unanswered, Malformed, NoLease, Compacted, KeyError, TypeError, ValueError)
+
+
 def _int(body: dict[str, Any], name: str) -> int:
     value = body.get(name)
     if type(value) is not int:
--- a/src/salthead/coordination/ledger.py
+++ b/src/salthead/coordination/ledger.py
@@ -14,6 +14,7 @@
 from collections.abc import Callable, Iterable
 from typing import Any
 
+from salthead.coordination import waiting
 from salthead.coordination.estimates import Arrivals, Estimates, Promptness
 from salthead.coordination.lease import surely_over
 from salthead.coordination.model import (
@@ -165,94 +166,10 @@
         if len(fitting) == 1 < len(self.flavors):
             self.scarce |= fitting
         job.choosy = fitting <= self.scarce
-        self._join(job)
+        waiting.join(self, job)
         self.on_change()
         return job
 
-    # -- pipelines ----------------------------------------------------------------------
-
-    def _join(self, job: Job) -> None:
-        """Find the job's place among those that wait for others."""
-        spec, awaits = job.spec, job.spec.awaits or []
-        job.since = job.submitted
-        due = (math.inf, math.inf)
-        if spec.due_s is not None:
-            times = [aim.times for aim in self.limits.objectives
-                     if aim.kind == "deadline" and aim.breed == spec.breed]
-            due = (job.submitted + spec.due_s * min(times, default=1.0),
-                   job.submitted + spec.due_s * max(times, default=1.0))
-        self.pipelines.add(
-            job.uid, awaits, job.rank, spec.breed, self.estimates.run_s(spec.breed, spec.guess_s),
-            due)
-        job.awaiting = bool(self.pipelines.nodes[job.uid].open)
-        if not job.awaiting:
-            self._count_from(job)
-        if any(known.doomed or known.over == names.ABORTED
-               for uid in awaits if (known := self.jobs.get(uid)) is not None):
-            self._doom([job.uid, *self.pipelines.aborted(job.uid)])
-        self._inherit()
-
-    def _count_from(self, job: Job) -> None:
-        ended = self.pipelines.ended
-        job.since = max([job.submitted, *(
-            at for uid in job.spec.awaits or [] if (at := ended.get(uid)) is not None)])
-
-    def _ready(self, uids: list[str]) -> None:
-        """All that these await is durably done."""
-        for uid in uids:
-            job = self.jobs[uid]
-            job.awaiting = False
-            self._count_from(job)
-            log.info("job %s is ready", uid)
-        if uids:
-            self.on_change()
-
-    def _doom(self, uids: list[str]) -> None:
-        """A job that these need was cancelled, durably: their end follows from that."""
-        for uid in uids:
-            job = self.jobs[uid]
-            job.doomed = True
-            self.doomed[uid] = None
-            for binding in list(job.bindings.values()):
-                self.want_stop(binding, 0.0)
-        if uids:
-            log.info("%d jobs end with one that they need: %s", len(uids), ", ".join(uids[:5]))
-            self.on_change()
-
-    def settle(self, uid: str, phase: str, at: float | None, now: float) -> None:
-        """What a record says of a job that others await, and that ended before this term.
-
-        ``at`` is the time of day; clocks differ within their bound, so it is no later than now.
-        """
-        if phase == names.DONE:
-            ended = now if at is None else min(now, at - self.wall_ahead)
-            self._ready(self.pipelines.done(uid, ended))
-        else:
-            self._doom(self.pipelines.aborted(uid))
-        self._inherit()
-
-    def _inherit(self) -> None:
-        """Ranks and due times that have changed with the graph."""
-        for uid, node in self.pipelines.take_moved():
-            job = self.jobs.get(uid)
-            if job is None:
-                continue
-            job.due = node.inherited_due
-            self.ranks[job.rank] -= len(job.bindings)
-            job.rank = node.inherited_rank
-            self.ranks[job.rank] += len(job.bindings)
-
-    def revise_runs(self) -> None:
-        """Where estimates of run times have moved by more than a tenth, so do due times."""
-        for breed, uids in self.pipelines.breeds.items():
-            factor = self.estimates.factor(breed)
-            if abs(factor - self.factors.get(breed, 1.0)) > 0.1 * factor:
-                self.factors[breed] = factor
-                self.pipelines.revise(
-                    (uid, self.estimates.run_s(breed, self.jobs[uid].spec.guess_s))
-                    for uid in uids)
-        self._inherit()
-
     def fitting(self, job: Job) -> set[int]:
         """Types that a task of the job may be on and fits on."""
         return {
@@ -288,15 +205,7 @@
         """The outcome is durable: stop what is left and forget the job once it is gone."""
         job.over = phase
         job.dirty.clear()
-        self.doomed.pop(job.uid, None)
-        if phase == names.DONE:
-            node = self.pipelines.nodes.get(job.uid)
-            for uid in node.after if node is not None else ():
-                self.jobs[uid].fresh = True  # until now nobody could start it
-            self._ready(self.pipelines.done(job.uid, now))
-        else:
-            self._doom(self.pipelines.aborted(job.uid))
-        self._inherit()
+        waiting.ended(self, job, phase, now)
         for binding in list(job.bindings.values()):
             if phase == names.ABORTED:
                 self.want_stop(binding, 0.0)
@@ -478,7 +387,7 @@
     def tick(self, now: float) -> None:
         """What time alone decides: leases that are surely over, and the end of a takeover."""
         lease_s = self.limits.workers.lease_s
-        self.revise_runs()
+        waiting.revise_runs(self)
         for machine in self.machines.values():
             if machine.phase == UP and now > surely_over(
                 max(machine.answered, self.leases_from,
--- /dev/null
+++ b/src/salthead/feed.py
@@ -0,0 +1,179 @@
+"""The jobs of one term, and their done tasks: read from the state service, and followed there."""
+
+from __future__ import annotations
+
+import logging
+from collections.abc import Iterable
+from typing import TYPE_CHECKING, Any
+
+from salthead.bookkeeping import records
+from salthead.bookkeeping.store import TROUBLES, Compacted
+from salthead.coordination import waiting
+from salthead.coordination.keeping import counted_until
+from salthead.coordination.model import Job
+from salthead.protocol import names
+from salthead.protocol.messages import Malformed, Submission
+from salthead.transport.client import Unanswered
+
+if TYPE_CHECKING:
+    from salthead.term import Term
+
+log = logging.getLogger("salthead.feed")
+
+# Between looks at what became of awaited jobs.
+AWAIT_GAP_S = 0.2
+
+
+class JobFeed:
+    def __init__(self, term: Term) -> None:
+        self.term = term
+        self.ledger = term.ledger
+        self.now = term.now
+        self.since = 0  # the epoch up to which the records are known
+        self.incomplete: dict[str, None] = {}  # jobs whose record is continued, not read in full
+
+    async def load(self) -> None:
+        ledger = self.ledger
+        jobs, self.since = await self.term.store.rows(records.JOBS)
+        parts, _ = await self.term.store.rows(records.PARTS)
+        roster, _ = await self.term.store.rows(records.ROSTER)
+        now = self.now()
+        self.term.parts, self.term.roster = self.term.new_pages()
+        # After the jobs: a record and what continues it are written together.
+        rows, _ = await self.term.store.rows(records.AWAITS)
+        rest = {key: value for key, (value, _) in rows.items()}
+        for key, (value, stamp) in jobs.items():
+            self.take_row(key, value, stamp, rest, loading=True)
+        self.term.leftovers = {key: uid for key in rest
+                          if (uid := key.split("/")[1]) not in ledger.jobs}
+        self.load_parts({key: value for key, (value, _) in parts.items()},
+                        {key: stamp for key, (_, stamp) in parts.items()})
+        for key, (value, stamp) in roster.items():
+            self.term.roster.load(key, value, stamp)
+            for name, (build, zone, borrowed, endpoint) in value.items():
+                machine = ledger.add_machine(name, build, zone, bool(borrowed), now, rostered=True)
+                machine.endpoint = machine.endpoint or str(endpoint or "")
+        # Another node may have been allowed by the last leader to answer workers for a while.
+        keeps, _ = await self.term.store.rows(records.KEEP)
+        ledger.leases_from = self.now()
+        if keeps:
+            ledger.leases_from = counted_until(self.now(), self.term.clock.ttl)
+        ledger.loaded = True
+        log.info("loaded %d jobs, %d machines", len(ledger.jobs), len(ledger.machines))
+
+    def load_parts(self, pages: dict[str, dict[str, Any]], stamps: dict[str, int]) -> None:
+        """Done tasks as earlier terms saved them, whichever version wrote them."""
+        ledger = self.ledger
+        again: set[str] = set()
+        for key, content in pages.items():
+            self.term.parts.load(key, content, stamps[key])
+            # A stretch may stand on two pages, if a writer ended between them: what either names
+            # is done.
+            for name, item in content.items():
+                uid, done = self.term.stretches.read(name, item)
+                job = ledger.jobs.get(uid)
+                if job is not None:
+                    ledger.load_done(job, done)
+                    if not self.term.stretches.own(item):
+                        again.add(uid)
+        again |= {records.part_from(name)[0] for name in self.term.parts.twice}
+        for name in list(self.term.parts.where):
+            if records.part_from(name)[0] not in ledger.jobs:
+                self.term.parts.drop(name)
+        for uid in again & ledger.jobs.keys():
+            # Written by another size, or twice: once more, as this version writes it.
+            job = ledger.jobs[uid]
+            self.set_parts(job, [n for n in range(job.spec.pieces) if job.done[n]])
+            own = set(self.term.stretches.names(uid, job.spec.pieces))
+            for name in [n for n in self.term.parts.where if records.part_from(n)[0] == uid]:
+                if name not in own:
+                    self.term.parts.drop(name)
+
+    def set_parts(self, job: Job, changed: Iterable[int]) -> None:
+        """Put the items that hold these tasks on the pages, as they are now."""
+        at: dict[int, None] = dict.fromkeys(self.term.stretches.base(index) for index in changed)
+        ahead: list[str] = []
+        for base in sorted(at, reverse=True):
+            # The first cut of a stretch, whose name every version knows, comes after the others:
+            # it may hold them all as yet.
+            end = min(self.term.stretches.end(base), job.spec.pieces)
+            name = self.term.stretches.name(job.uid, base)
+            first = base % self.term.stretches.size == 0
+            self.term.parts.set(name, self.term.stretches.item(
+                base, (n for n in range(base, end) if job.done[n])), ahead if first else ())
+            ahead = [] if first else [*ahead, name]
+
+    def take_row(
+        self, key: str, value: Any, stamp: int, rest: dict[str, Any] | None = None,
+        loading: bool = False,
+    ) -> None:
+        """A job's record. ``rest`` has what continues it, if that was read."""
+        try:
+            spec = records.job_from(value)
+            if spec.more:
+                if rest is None:
+                    self.incomplete[spec.uid] = None
+                    return
+                spec.awaits = (spec.awaits or []) + [
+                    uid for n in range(spec.more)
+                    for uid in records.awaits_from(rest.get(records.awaits_key(spec.uid, n)))]
+        except Malformed as error:
+            self.term.node.note("job record", f"{key}: {error}")
+            return
+        # An event may be older than the outcome; what is loaded is not over, though its outcome
+        # may have been derived, and told, before it is written.
+        if loading or spec.uid not in self.term.node.finals:
+            self.ledger.add_job(spec, self.now(), fresh=stamp > self.term.stamp)
+
+    def add_job(self, spec: Submission) -> None:
+        """A job whose record this node has just written."""
+        self.ledger.add_job(spec, self.now(), fresh=True)
+
+    async def watch_loop(self) -> None:
+        """Jobs that any node accepted."""
+        while True:
+            try:
+                events, self.since = await self.term.store.changes(records.JOBS, self.since, 10.0)
+                for event in events:
+                    if "set" in event:
+                        self.take_row(event["set"], event.get("value"), event.get("stamp", 0))
+            except Compacted:
+                try:
+                    rows, self.since = await self.term.store.rows(records.JOBS)
+                    for key, (value, stamp) in rows.items():
+                        self.take_row(key, value, stamp)
+                except TROUBLES as error:
+                    self.term.node.note("job list", error)
+                    await self.term.node.rest(1.0)
+            except TROUBLES as error:
+                self.term.node.note("job watch", error)
+                await self.term.node.rest(0.5)
+
+    async def await_loop(self) -> None:
+        """What became of awaited jobs of which this term knows nothing, and long records."""
+        while True:
+            for uid in [*self.incomplete, *self.ledger.pipelines.unsure]:
+                try:
+                    await self.look_up(uid)
+                except TROUBLES as error:
+                    self.term.node.note("awaited job", error)
+                    await self.term.node.rest(0.5)
+            await self.term.node.rest(AWAIT_GAP_S)
+
+    async def look_up(self, uid: str) -> None:
+        unsure = self.ledger.pipelines.unsure
+        found = self.term.node.finals.get(uid)
+        if found is None or (found[0] == names.DONE and found[2] is None):
+            found = await self.term.node.ended(uid)
+        if found is not None:
+            self.incomplete.pop(uid, None)
+            if uid in unsure:
+                waiting.settle(self.ledger, uid, found[0], found[2], self.now())
+            return
+        row = await self.term.store.get(records.job_key(uid))
+        if row is None:
+            raise Unanswered(f"no record of {uid}")
+        if uid not in self.ledger.jobs:
+            spec = await self.term.node.whole(records.job_from(row[0]))
+            self.incomplete.pop(uid, None)
+            self.ledger.add_job(spec, self.now(), fresh=row[1] > self.term.stamp)
--- /dev/null
+++ b/src/salthead/rental.py
@@ -0,0 +1,180 @@
+"""The cloud's machines for one term: what it lists, what is hired, what is returned."""
+
+from __future__ import annotations
+
+import logging
+from typing import TYPE_CHECKING, Any
+
+import msgspec
+
+from salthead.bookkeeping import records
+from salthead.bookkeeping.store import TROUBLES, Conflict, Refused, drop, put
+from salthead.coordination import fleet
+from salthead.coordination.model import BOOTING, Machine
+from salthead.protocol import names
+from salthead.protocol.messages import Flavor, Hired, Hosts, Malformed, shape
+from salthead.transport.client import Unanswered
+from salthead.transport.limits import Budget
+
+if TYPE_CHECKING:
+    from salthead.term import Term
+
+log = logging.getLogger("salthead.rental")
+
+# A loop whose rounds take long pauses for this many times as long, so that reports have the
+# processor for most of the time whatever the size of the fleet and the queue.
+REST_FACTOR = 9.0
+
+
+class Rental:
+    def __init__(self, term: Term) -> None:
+        self.term = term
+        self.ledger = term.ledger
+        self.now = term.now
+        self.limits = term.limits
+        self.hire_count = 0
+        self.coming: dict[fleet.Kind, int] = {}
+        self.refusals = fleet.Refusals()
+        # A quarter is left for the other nodes' reads of machine types.
+        self.cloud_budget = Budget(
+            term.limits.cloud.rps * 0.7, term.limits.cloud.rps, term.now)
+        self.flavors_stored: list[Flavor] = []
+
+    async def store_flavors(self) -> None:
+        """Machine types for nodes that start while the cloud's interface is down."""
+        flavors = list(self.term.node.flavors.values())
+        if not flavors or flavors == self.flavors_stored:
+            return
+        there, _ = await self.term.store.rows(records.MORE_FLAVORS)
+        rows = dict(records.flavors_rows(
+            msgspec.to_builtins(flavors), self.term.kept.value_kb))
+        changes = [put(key, value) for key, value in rows.items()]
+        changes += [drop(key) for key in there if key not in rows]
+        for at in range(0, len(changes), self.term.kept.txn_ops):
+            await self.term.txn({}, changes[at:at + self.term.kept.txn_ops])
+        self.flavors_stored = flavors
+
+    async def list_loop(self) -> None:
+        while True:
+            try:
+                await self.store_flavors()
+            except records.TooLong as error:
+                self.term.node.note("flavors", error)
+                self.flavors_stored = list(self.term.node.flavors.values())
+            except (Conflict, *TROUBLES) as error:
+                self.term.node.note("flavors", error)
+            try:
+                await self.read_list()
+            except TROUBLES as error:
+                self.term.node.note("cloud list", error)
+            await self.term.node.rest(max(2.0, 2.0 / self.limits.cloud.rps))
+
+    async def read_list(self) -> None:
+        start = ""
+        while True:
+            await self.cloud_budget.wait()
+            query: dict[str, Any] = {"most": 500}
+            if start:
+                query["from"] = start
+            answer = await self.term.node.cloud.call("GET", names.HOSTS, query=query, timeout=3.0)
+            if answer.status != 200:
+                raise Refused(answer.status, "cloud list")
+            page = shape(answer.body, Hosts)
+            now = self.now()
+            for host in page.saltlicks:
+                start = host.uid
+                if host.uid in self.ledger.recently_gone:
+                    continue  # the list lags
+                known = host.uid in self.ledger.machines
+                machine = self.ledger.add_machine(
+                    host.uid, host.build, host.paddock, host.borrowed, now)
+                if not known:
+                    log.info("machine %s found in the list (%s)", host.uid, host.phase)
+                    machine.hired_at = now - host.age_s
+                elif machine.phase == BOOTING:
+                    machine.hired_at = min(machine.hired_at, now - host.age_s)
+                if host.phase == names.FAILED and not machine.condemned:
+                    machine.condemned = "failed"
+                    log.info("machine %s failed", host.uid)
+            if not page.truncated:
+                return
+
+    async def fleet_loop(self) -> None:
+        took = 0.0
+        while True:
+            await self.term.node.rest(max(0.5, REST_FACTOR * took))
+            if not self.term.valid():
+                continue
+            began = self.now()
+            plan = fleet.plan(self.ledger, self.now(), self.refusals, self.coming)
+            for kind, count in plan.hires.items():
+                self.term.spawn(self.hire(kind, count))
+            if plan.returns:
+                for machine in plan.returns:
+                    machine.returning = True
+                self.term.spawn(self.give_back(plan.returns[:100]))
+                for machine in plan.returns[100:]:
+                    machine.returning = False
+            took = self.now() - began
+            self.term.views.show()
+
+    async def hire(self, kind: fleet.Kind, count: int) -> None:
+        build, zone, borrowed = kind
+        self.hire_count += 1
+        name = f"{self.term.token}-{self.hire_count}"
+        self.coming[kind] = self.coming.get(kind, 0) + count
+        type_name, zone_name = self.ledger.builds[build], self.ledger.zones[zone]
+        body = {"hire": name, "build": type_name, "how_many": count,
+                "paddock": zone_name, "borrowed": borrowed}
+        got = 0
+        try:
+            # The same name again rents nothing twice, so an unanswered request is repeated.
+            for _ in range(4):
+                await self.cloud_budget.wait()
+                try:
+                    answer = await self.term.node.cloud.call("POST", names.HOSTS, body, timeout=4.0)
+                except Unanswered as error:
+                    self.term.node.note("hire", error)
+                    await self.term.node.rest(1.0)
+                    continue
+                if answer.status != 200:
+                    if answer.body.get("error") != "no capacity":
+                        self.term.node.note("hire", f"{answer.status} {answer.body}")
+                    break
+                hosts = shape(answer.body, Hired).saltlicks
+                now = self.now()
+                for host in hosts:
+                    self.ledger.add_machine(host, type_name, zone_name, borrowed, now)
+                got = len(hosts)
+                break
+        except Malformed as error:
+            self.term.node.note("hire", error)
+        finally:
+            self.coming[kind] -= count
+        log.info("hire %s: %d of %d %s in %s%s", name, got, count, type_name, zone_name,
+                 " borrowed" if borrowed else "")
+        if got < count:
+            self.refusals.refused(kind, self.now())
+        else:
+            self.refusals.granted(kind)
+        self.term.wake()
+
+    async def give_back(self, machines: list[Machine]) -> None:
+        hosts = [machine.name for machine in machines]
+        try:
+            await self.cloud_budget.wait()
+            answer = await self.term.node.cloud.call(
+                "POST", names.HOSTS_RETURN, {"saltlicks": hosts}, timeout=4.0)
+            if answer.status != 200:
+                raise Refused(answer.status, "return")
+        except TROUBLES as error:
+            self.term.node.note("return", error)
+            await self.term.node.rest(1.0)
+            for machine in machines:
+                machine.returning = False
+            return
+        now = self.now()
+        for machine in machines:
+            log.info("returned %s after %.0f s", machine.name, now - machine.hired_at)
+            self.ledger.machine_gone(machine, now)
+            self.term.roster.drop(machine.name)
--- a/src/salthead/service.py
+++ b/src/salthead/service.py
@@ -16,7 +16,16 @@
 
 from salthead import metrics
 from salthead.bookkeeping import records
-from salthead.bookkeeping.store import Conflict, NoLease, Refused, Row, Store, drop, put
+from salthead.bookkeeping.store import (
+    TROUBLES,
+    Conflict,
+    NoLease,
+    Refused,
+    Row,
+    Store,
+    drop,
+    put,
+)
 from salthead.coordination import lease
 from salthead.coordination.keeping import Keeper
 from salthead.protocol import names
@@ -24,7 +33,6 @@
     UID,
     Flavor,
     Flavors,
-    Malformed,
     Report,
     Submission,
     shape,
@@ -36,7 +44,6 @@
 
 log = logging.getLogger("salthead.service")
 
-TROUBLES = (Refused, Unanswered, Malformed, NoLease, Conflict, KeyError, TypeError, ValueError)
 # A worker whose leader hangs tries the next node after its time-out of 4 s and 1 s more.
 KNOCK_S = 6.0
 LAG_EVERY_S, LAG_MOST_S = 0.25, 0.5
@@ -231,7 +238,7 @@
                         # later wish, by which the next leader knows of what was allowed.
                         await self.store.txn({key: row[1]}, [drop(key)], urgent=True)
                     written = False
-            except TROUBLES as error:
+            except (Conflict, *TROUBLES) as error:
                 self.note("keep", error)
 
     def keeps(self, report: Report) -> bool:
@@ -275,7 +282,7 @@
                 self.take_flavors(shape(answer.body, Flavors).builds)
                 await self.rest(60.0)
                 continue
-            except TROUBLES as error:
+            except (Conflict, *TROUBLES) as error:
                 self.note("cloud flavors", error)
             if not self.flavors:
                 try:
@@ -285,7 +292,7 @@
                         found = row[0]
                     if found is not None:
                         self.take_flavors(shape(found, Flavors).builds)
-                except TROUBLES as error:
+                except (Conflict, *TROUBLES) as error:
                     self.note("stored flavors", error)
             await self.rest(2.0)
 
@@ -515,7 +522,7 @@
         self.remember(job)
         term = self.leading()
         if term is not None and term.ledger.loaded:
-            term.add_job(job)
+            term.feed.add_job(job)
         return 201, {"uid": job.uid, "phase": names.QUEUED}
 
     async def check_awaits(self, job: Submission) -> bool:
@@ -655,7 +662,7 @@
         """Queue and fleet, from the leader wherever it is."""
         term = self.leading()
         if term is not None:
-            return term.overview()
+            return term.views.overview()
         peer = self.peers.get(self.leader or "")
         if peer is None:
             raise Later("no leader")
--- a/src/salthead/term.py
+++ b/src/salthead/term.py
@@ -6,16 +6,14 @@
 import contextlib
 import logging
 import time
-from collections.abc import Coroutine, Iterable, Iterator
+from collections.abc import Coroutine, Iterator
 from itertools import islice
 from typing import TYPE_CHECKING, Any
 
-import msgspec
-
-from salthead import metrics
 from salthead.bookkeeping import records
 from salthead.bookkeeping.pages import Pages
 from salthead.bookkeeping.store import (
+    TROUBLES,
     Compacted,
     Conflict,
     NoLease,
@@ -23,35 +21,24 @@
     drop,
     put,
 )
-from salthead.coordination import fleet, gangs, placement, preemption
+from salthead.coordination import gangs, placement, preemption
 from salthead.coordination.keeping import counted_until
 from salthead.coordination.lease import LeaseClock, promise_s
 from salthead.coordination.ledger import MAX_ORDERS, Ledger
-from salthead.coordination.model import BOOTING, UP, Job, Machine
+from salthead.coordination.model import UP, Job, Machine
+from salthead.feed import JobFeed
 from salthead.protocol import names
-from salthead.protocol.messages import (
-    Flavor,
-    Hired,
-    Hosts,
-    Malformed,
-    Report,
-    Submission,
-    shape,
-    stop_order,
-)
+from salthead.protocol.messages import Report, shape, stop_order
+from salthead.rental import REST_FACTOR, Rental
 from salthead.transport.client import Caller, Unanswered
-from salthead.transport.limits import Budget
+from salthead.views import Views
 
 if TYPE_CHECKING:
     from salthead.service import Node
 
 log = logging.getLogger("salthead.term")
 
-TROUBLES = (Refused, Unanswered, Malformed, NoLease, Compacted, KeyError, TypeError, ValueError)
 DECIDE_GAP_S = 0.1
-# A loop whose rounds take long pauses for this many times as long, so that reports have the
-# processor for most of the time whatever the size of the fleet and the queue.
-REST_FACTOR = 9.0
 SAVE_GAP_S = 0.25
 # Tasks of an unfinished job are saved at most this often; their ends are kept by the worker.
 PART_GAP_S = 2.0
@@ -59,11 +46,6 @@
 # longer, when all others have been.
 JOIN_S, JOIN_AGAIN_S = 0.5, 2.0
 BATCH_KB = 56.0  # of a transaction's 64 KiB
-ACCOUNT_S, SHOW_S = 2.0, 10.0
-# Between looks at what became of awaited jobs.
-AWAIT_GAP_S = 0.2
-OVERVIEW_ROWS = 150
-OVERVIEW_AWAITS = 3
 
 
 class Deposed(Exception):
@@ -89,24 +71,16 @@
         self.ledger.on_room = self.offer
         self.ledger.set_flavors(node.flavors.values())
         self.changed = asyncio.Event()
-        self.hire_count = 0
-        self.coming: dict[fleet.Kind, int] = {}
-        self.refusals = fleet.Refusals()
-        self.since = 0
         self.parts, self.roster = self.new_pages()
         self.save_at = self.roster_at = -1e9
-        # A quarter is left for the other nodes' reads of machine types.
-        self.cloud_budget = Budget(node.limits.cloud.rps * 0.7, node.limits.cloud.rps, node.now)
         self.background: set[asyncio.Task[None]] = set()
         self.end_lock = asyncio.Lock()
-        self.shown = -SHOW_S
-        self.accounted = node.now()
-        self.spent: dict[str, float] = {}
-        self.flavors_stored: list[Flavor] = []
         self.renewal_failed = False
         self.promised = False
-        self.incomplete: dict[str, None] = {}  # jobs whose record is continued, not read in full
         self.leftovers: dict[str, str] = {}  # keys that continue records of jobs that are over
+        self.feed = JobFeed(self)
+        self.rental = Rental(self)
+        self.views = Views(self)
 
     def new_pages(self) -> tuple[Pages, Pages]:
         kb = self.kept.value_kb
@@ -141,14 +115,14 @@
     async def work_loop(self) -> None:
         while not self.ledger.loaded:
             try:
-                await self.load()
+                await self.feed.load()
             except TROUBLES as error:
                 self.node.note("load", error)
                 await self.node.rest(0.3)
         self.spawn(self.join_all(self.ledger.unheard()))
-        loops = [self.watch_loop(), self.await_loop(), self.decide_loop(), self.save_loop(),
-                 self.roster_loop(),
-                 self.list_loop(), self.fleet_loop(), self.stranger_loop(), self.deaf_loop(),
+        loops = [self.feed.watch_loop(), self.feed.await_loop(), self.decide_loop(),
+                 self.save_loop(), self.roster_loop(), self.rental.list_loop(),
+                 self.rental.fleet_loop(), self.stranger_loop(), self.deaf_loop(),
                  self.keep_loop()]
         async with asyncio.TaskGroup() as group:
             for loop in loops:
@@ -251,155 +225,9 @@
 
     # -- loading and following jobs -----------------------------------------------------
 
-    async def load(self) -> None:
-        ledger = self.ledger
-        jobs, self.since = await self.store.rows(records.JOBS)
-        parts, _ = await self.store.rows(records.PARTS)
-        roster, _ = await self.store.rows(records.ROSTER)
-        now = self.now()
-        self.parts, self.roster = self.new_pages()
-        rest: dict[str, Any] = {}
-        if any(type(value) is dict and value.get("more") for value, _ in jobs.values()):
-            rest, _ = await self.store.rows(records.AWAITS)
-        for key, (value, stamp) in jobs.items():
-            self.take_row(key, value, stamp, {k: row[0] for k, row in rest.items()}, loading=True)
-        self.leftovers = {key: uid for key in rest
-                          if (uid := key.split("/")[1]) not in ledger.jobs}
-        self.load_parts({key: value for key, (value, _) in parts.items()},
-                        {key: stamp for key, (_, stamp) in parts.items()})
-        for key, (value, stamp) in roster.items():
-            self.roster.load(key, value, stamp)
-            for name, (build, zone, borrowed, endpoint) in value.items():
-                machine = ledger.add_machine(name, build, zone, bool(borrowed), now, rostered=True)
-                machine.endpoint = machine.endpoint or str(endpoint or "")
-        # Another node may have been allowed by the last leader to answer workers for a while.
-        keeps, _ = await self.store.rows(records.KEEP)
-        ledger.leases_from = self.now()
-        if keeps:
-            ledger.leases_from = counted_until(self.now(), self.clock.ttl)
-        ledger.loaded = True
-        log.info("loaded %d jobs, %d machines", len(ledger.jobs), len(ledger.machines))
-
-    def load_parts(self, pages: dict[str, dict[str, Any]], stamps: dict[str, int]) -> None:
-        """Done tasks as earlier terms saved them, whichever version wrote them."""
-        ledger = self.ledger
-        again: set[str] = set()
-        for key, content in pages.items():
-            self.parts.load(key, content, stamps[key])
-            # A stretch may stand on two pages, if a writer ended between them: what either names
-            # is done.
-            for name, item in content.items():
-                uid, done = self.stretches.read(name, item)
-                job = ledger.jobs.get(uid)
-                if job is not None:
-                    ledger.load_done(job, done)
-                    if not self.stretches.own(item):
-                        again.add(uid)
-        again |= {records.part_from(name)[0] for name in self.parts.twice}
-        for name in list(self.parts.where):
-            if records.part_from(name)[0] not in ledger.jobs:
-                self.parts.drop(name)
-        for uid in again & ledger.jobs.keys():
-            # Written by another size, or twice: once more, as this version writes it.
-            job = ledger.jobs[uid]
-            self.set_parts(job, [n for n in range(job.spec.pieces) if job.done[n]])
-            own = set(self.stretches.names(uid, job.spec.pieces))
-            for name in [n for n in self.parts.where if records.part_from(n)[0] == uid]:
-                if name not in own:
-                    self.parts.drop(name)
-
-    def set_parts(self, job: Job, changed: Iterable[int]) -> None:
-        """Put the items that hold these tasks on the pages, as they are now."""
-        at: dict[int, None] = dict.fromkeys(self.stretches.base(index) for index in changed)
-        ahead: list[str] = []
-        for base in sorted(at, reverse=True):
-            # The first cut of a stretch, whose name every version knows, comes after the others:
-            # it may hold them all as yet.
-            end = min(self.stretches.end(base), job.spec.pieces)
-            name = self.stretches.name(job.uid, base)
-            first = base % self.stretches.size == 0
-            self.parts.set(name, self.stretches.item(
-                base, (n for n in range(base, end) if job.done[n])), ahead if first else ())
-            ahead = [] if first else [*ahead, name]
-
-    def take_row(
-        self, key: str, value: Any, stamp: int, rest: dict[str, Any] | None = None,
-        loading: bool = False,
-    ) -> None:
-        """A job's record. ``rest`` has what continues it, if that was read."""
-        try:
-            spec = records.job_from(value)
-            if spec.more:
-                if rest is None:
-                    self.incomplete[spec.uid] = None
-                    return
-                spec.awaits = (spec.awaits or []) + [
-                    uid for n in range(spec.more)
-                    for uid in records.awaits_from(rest.get(records.awaits_key(spec.uid, n)))]
-        except Malformed as error:
-            self.node.note("job record", f"{key}: {error}")
-            return
-        # An event may be older than the outcome; what is loaded is not over, though its outcome
-        # may have been derived, and told, before it is written.
-        if loading or spec.uid not in self.node.finals:
-            self.ledger.add_job(spec, self.now(), fresh=stamp > self.stamp)
-
-    def add_job(self, spec: Submission) -> None:
-        """A job whose record this node has just written."""
-        self.ledger.add_job(spec, self.now(), fresh=True)
-
-    async def watch_loop(self) -> None:
-        """Jobs that any node accepted."""
-        while True:
-            try:
-                events, self.since = await self.store.changes(records.JOBS, self.since, 10.0)
-                for event in events:
-                    if "set" in event:
-                        self.take_row(event["set"], event.get("value"), event.get("stamp", 0))
-            except Compacted:
-                try:
-                    rows, self.since = await self.store.rows(records.JOBS)
-                    for key, (value, stamp) in rows.items():
-                        self.take_row(key, value, stamp)
-                except TROUBLES as error:
-                    self.node.note("job list", error)
-                    await self.node.rest(1.0)
-            except TROUBLES as error:
-                self.node.note("job watch", error)
-                await self.node.rest(0.5)
-
-    async def await_loop(self) -> None:
-        """What became of awaited jobs of which this term knows nothing, and long records."""
-        while True:
-            for uid in [*self.incomplete, *self.ledger.pipelines.unsure]:
-                try:
-                    await self.look_up(uid)
-                except TROUBLES as error:
-                    self.node.note("awaited job", error)
-                    await self.node.rest(0.5)
-            await self.node.rest(AWAIT_GAP_S)
-
-    async def look_up(self, uid: str) -> None:
-        unsure = self.ledger.pipelines.unsure
-        found = self.node.finals.get(uid)
-        if found is None or (found[0] == names.DONE and found[2] is None):
-            found = await self.node.ended(uid)
-        if found is not None:
-            self.incomplete.pop(uid, None)
-            if uid in unsure:
-                self.ledger.settle(uid, found[0], found[2], self.now())
-            return
-        row = await self.store.get(records.job_key(uid))
-        if row is None:
-            raise Unanswered(f"no record of {uid}")
-        if uid not in self.ledger.jobs:
-            spec = await self.node.whole(records.job_from(row[0]))
-            self.incomplete.pop(uid, None)
-            self.ledger.add_job(spec, self.now(), fresh=row[1] > self.stamp)
-
     async def keep_loop(self) -> None:
         """Nodes that ask to answer their zone's workers for this leader, behind a cut."""
-        since = self.since
+        since = self.feed.since
         while True:
             try:
                 events, since = await self.store.changes(records.KEEP, since, 10.0)
@@ -408,7 +236,7 @@
                     if "set" in event and type(value) is dict and value.get("token") == self.token:
                         await self.allow(event["set"].removeprefix(records.KEEP), value)
             except Compacted:
-                since = self.since
+                since = self.feed.since
                 await self.node.rest(0.5)
             except (Conflict, *TROUBLES) as error:
                 self.node.note("keep", error)
@@ -617,9 +445,9 @@
             row = await self.store.get(records.job_key(uid))
             if row is None or not self.ledger.loaded:
                 raise Unanswered("cancel in doubt")
-            self.take_row(records.job_key(uid), *row)
-            if uid in self.incomplete:
-                await self.look_up(uid)
+            self.feed.take_row(records.job_key(uid), *row)
+            if uid in self.feed.incomplete:
+                await self.feed.look_up(uid)
             job = self.ledger.jobs.get(uid)
             if job is None:
                 raise Unanswered("cancel in doubt")
@@ -655,7 +483,7 @@
             if job.over or not job.dirty:
                 continue
             covered.append((job, list(job.dirty)))
-            self.set_parts(job, job.dirty)
+            self.feed.set_parts(job, job.dirty)
         while self.parts.dirty:
             await self.write_pages(self.parts)
         for job, done in covered:
@@ -721,159 +549,6 @@
                     self.node.note("roster", error)
             await self.node.rest(0.1)
 
-    async def store_flavors(self) -> None:
-        """Machine types for nodes that start while the cloud's interface is down."""
-        flavors = list(self.node.flavors.values())
-        if not flavors or flavors == self.flavors_stored:
-            return
-        there, _ = await self.store.rows(records.MORE_FLAVORS)
-        rows = dict(records.flavors_rows(
-            msgspec.to_builtins(flavors), self.kept.value_kb))
-        changes = [put(key, value) for key, value in rows.items()]
-        changes += [drop(key) for key in there if key not in rows]
-        for at in range(0, len(changes), self.kept.txn_ops):
-            await self.txn({}, changes[at:at + self.kept.txn_ops])
-        self.flavors_stored = flavors
-
-    async def list_loop(self) -> None:
-        while True:
-            try:
-                await self.store_flavors()
-            except records.TooLong as error:
-                self.node.note("flavors", error)
-                self.flavors_stored = list(self.node.flavors.values())
-            except (Conflict, *TROUBLES) as error:
-                self.node.note("flavors", error)
-            try:
-                await self.read_list()
-            except TROUBLES as error:
-                self.node.note("cloud list", error)
-            await self.node.rest(max(2.0, 2.0 / self.limits.cloud.rps))
-
-    async def read_list(self) -> None:
-        start = ""
-        while True:
-            await self.cloud_budget.wait()
-            query: dict[str, Any] = {"most": 500}
-            if start:
-                query["from"] = start
-            answer = await self.node.cloud.call("GET", names.HOSTS, query=query, timeout=3.0)
-            if answer.status != 200:
-                raise Refused(answer.status, "cloud list")
-            page = shape(answer.body, Hosts)
-            now = self.now()
-            for host in page.saltlicks:
-                start = host.uid
-                if host.uid in self.ledger.recently_gone:
-                    continue  # the list lags
-                known = host.uid in self.ledger.machines
-                machine = self.ledger.add_machine(
-                    host.uid, host.build, host.paddock, host.borrowed, now)
-                if not known:
-                    log.info("machine %s found in the list (%s)", host.uid, host.phase)
-                    machine.hired_at = now - host.age_s
-                elif machine.phase == BOOTING:
-                    machine.hired_at = min(machine.hired_at, now - host.age_s)
-                if host.phase == names.FAILED and not machine.condemned:
-                    machine.condemned = "failed"
-                    log.info("machine %s failed", host.uid)
-            if not page.truncated:
-                return
-
-    async def fleet_loop(self) -> None:
-        took = 0.0
-        while True:
-            await self.node.rest(max(0.5, REST_FACTOR * took))
-            if not self.valid():
-                continue
-            began = self.now()
-            plan = fleet.plan(self.ledger, self.now(), self.refusals, self.coming)
-            for kind, count in plan.hires.items():
-                self.spawn(self.hire(kind, count))
-            if plan.returns:
-                for machine in plan.returns:
-                    machine.returning = True
-                self.spawn(self.give_back(plan.returns[:100]))
-                for machine in plan.returns[100:]:
-                    machine.returning = False
-            took = self.now() - began
-            self.show()
-
-    def overview(self) -> dict[str, Any]:
-        """Queue and fleet for operators, cut to what fits into an answer."""
-        ledger, now = self.ledger, self.now()
-        jobs = []
-        for job in sorted(ledger.jobs.values(), key=lambda job: job.spec.at)[:OVERVIEW_ROWS]:
-            phase, done, running = ledger.phase_of(job)
-            jobs.append({
-                "uid": job.uid, "crew": job.spec.crew, "breed": job.spec.breed,
-                "urgency": job.spec.urgency, "phase": phase, "waiting": job.waiting(),
-                "running": running, "done": done, "pieces": job.spec.pieces,
-                "awaits": ledger.awaited_by(job.uid, OVERVIEW_AWAITS)})
-        machines = []
-        for machine in sorted(ledger.machines.values(), key=lambda m: m.name)[:OVERVIEW_ROWS]:
-            notes = [
-                machine.condemned, "cordoned" if machine.cordoned else "",
-                f"kept for {machine.held_for}" if now < machine.held_until else "",
-                "is taken soon" if machine.warn_at is not None else ""]
-            machines.append({
-                "name": machine.name, "build": ledger.builds[machine.build],
-                "zone": ledger.zones[machine.zone],
-                "kind": "spot" if machine.borrowed else "ordinary", "phase": machine.phase,
-                "cpus": machine.cap[0], "used": round(machine.used[0], 3),
-                "note": ", ".join(note for note in notes if note)})
-        teams = [
-            {"name": name, "cpus": round(ledger.usage[n][0], 3),
-             "guaranteed": ledger.guarantees[n][0], "most": ledger.caps[n][0]}
-            for n, name in enumerate(ledger.crews.names)]
-        return {
-            "leader": self.node.settings.member, "token": self.token, "ready": ledger.ready,
-            "teams": teams, "jobs": jobs, "jobs_total": len(ledger.jobs),
-            "machines": machines, "machines_total": len(ledger.machines)}
-
-    def account(self, now: float) -> None:
-        """Where the rented CPU-seconds go: the metric behind price and useful share."""
-        passed, self.accounted = now - self.accounted, now
-        for machine in self.ledger.machines.values():
-            if machine.phase != UP:
-                self.spent[machine.phase] = (
-                    self.spent.get(machine.phase, 0.0) + machine.cap[0] * passed)
-                continue
-            free = max(0.0, machine.cap[0] - machine.used[0])
-            why = placement.unusable(self.ledger, machine, now)
-            use = f"free, {why}" if why else "free"
-            self.spent[use] = self.spent.get(use, 0.0) + free * passed
-            for binding in machine.bindings.values():
-                what = binding.phase or "starting"
-                self.spent[what] = self.spent.get(what, 0.0) + binding.need[0] * passed
-        for what, amount in self.spent.items():
-            metrics.SPENT.labels(what).set(amount)
-
-    def show(self) -> None:
-        if self.now() - self.accounted < ACCOUNT_S:
-            return
-        self.account(self.now())
-        phases: dict[str, int] = {}
-        for machine in self.ledger.machines.values():
-            phases[machine.phase] = phases.get(machine.phase, 0) + 1
-        for phase in ("up", "booting", "lost"):
-            metrics.MACHINES.labels(phase).set(phases.get(phase, 0))
-        now = self.now()
-        if now - self.shown >= SHOW_S:
-            self.shown = now
-            machines = [m for m in self.ledger.machines.values() if m.phase == UP]
-            log.info(
-                "fleet %s; %.0f of %.0f CPUs booked, %d idle; %d jobs, %d tasks waiting, %d bound; "
-                "CPU-seconds spent: %s",
-                phases, sum(m.used[0] for m in machines), sum(m.cap[0] for m in machines),
-                sum(1 for m in machines if not m.busy()), len(self.ledger.jobs),
-                sum(job.waiting() for job in self.ledger.jobs.values()),
-                sum(len(job.bindings) for job in self.ledger.jobs.values()),
-                ", ".join(f"{what} {amount:.0f}" for what, amount in self.spent.items()))
-        metrics.ACTIVE.set(len(self.ledger.jobs))
-        metrics.AWAITING.set(sum(1 for job in self.ledger.jobs.values() if job.awaiting))
-        metrics.WAITING.set(sum(job.waiting() for job in self.ledger.jobs.values()))
-
     def spawn(self, work: Coroutine[Any, Any, None]) -> None:
         task = asyncio.create_task(work)
         self.background.add(task)
@@ -883,64 +558,3 @@
         self.background.discard(task)
         if not task.cancelled() and (error := task.exception()) is not None:
             log.error("background work failed", exc_info=error)
-
-    async def hire(self, kind: fleet.Kind, count: int) -> None:
-        build, zone, borrowed = kind
-        self.hire_count += 1
-        name = f"{self.token}-{self.hire_count}"
-        self.coming[kind] = self.coming.get(kind, 0) + count
-        type_name, zone_name = self.ledger.builds[build], self.ledger.zones[zone]
-        body = {"hire": name, "build": type_name, "how_many": count,
-                "paddock": zone_name, "borrowed": borrowed}
-        got = 0
-        try:
-            # The same name again rents nothing twice, so an unanswered request is repeated.
-            for _ in range(4):
-                await self.cloud_budget.wait()
-                try:
-                    answer = await self.node.cloud.call("POST", names.HOSTS, body, timeout=4.0)
-                except Unanswered as error:
-                    self.node.note("hire", error)
-                    await self.node.rest(1.0)
-                    continue
-                if answer.status != 200:
-                    if answer.body.get("error") != "no capacity":
-                        self.node.note("hire", f"{answer.status} {answer.body}")
-                    break
-                hosts = shape(answer.body, Hired).saltlicks
-                now = self.now()
-                for host in hosts:
-                    self.ledger.add_machine(host, type_name, zone_name, borrowed, now)
-                got = len(hosts)
-                break
-        except Malformed as error:
-            self.node.note("hire", error)
-        finally:
-            self.coming[kind] -= count
-        log.info("hire %s: %d of %d %s in %s%s", name, got, count, type_name, zone_name,
-                 " borrowed" if borrowed else "")
-        if got < count:
-            self.refusals.refused(kind, self.now())
-        else:
-            self.refusals.granted(kind)
-        self.wake()
-
-    async def give_back(self, machines: list[Machine]) -> None:
-        hosts = [machine.name for machine in machines]
-        try:
-            await self.cloud_budget.wait()
-            answer = await self.node.cloud.call(
-                "POST", names.HOSTS_RETURN, {"saltlicks": hosts}, timeout=4.0)
-            if answer.status != 200:
-                raise Refused(answer.status, "return")
-        except TROUBLES as error:
-            self.node.note("return", error)
-            await self.node.rest(1.0)
-            for machine in machines:
-                machine.returning = False
-            return
-        now = self.now()
-        for machine in machines:
-            log.info("returned %s after %.0f s", machine.name, now - machine.hired_at)
-            self.ledger.machine_gone(machine, now)
-            self.roster.drop(machine.name)
--- a/src/salthead/transport/server.py
+++ b/src/salthead/transport/server.py
@@ -265,7 +265,7 @@
         if term is None:
             self.reply(503, {"error": "not the leader"})
         else:
-            self.reply(200, term.overview())
+            self.reply(200, term.views.overview())
 
 
 class PeerJob(Base):
--- /dev/null
+++ b/src/salthead/views.py
@@ -0,0 +1,105 @@
+"""What operators see of a term: the overview, the metrics, and what the rent is spent on."""
+
+from __future__ import annotations
+
+import logging
+from typing import TYPE_CHECKING, Any
+
+from salthead import metrics
+from salthead.coordination import placement
+from salthead.coordination.model import UP
+
+if TYPE_CHECKING:
+    from salthead.term import Term
+
+log = logging.getLogger("salthead.views")
+
+ACCOUNT_S, SHOW_S = 2.0, 10.0
+OVERVIEW_ROWS = 150
+OVERVIEW_AWAITS = 3
+
+
+class Views:
+    def __init__(self, term: Term) -> None:
+        self.term = term
+        self.ledger = term.ledger
+        self.now = term.now
+        self.shown = -SHOW_S
+        self.accounted = term.now()
+        self.spent: dict[str, float] = {}
+
+    def overview(self) -> dict[str, Any]:
+        """Queue and fleet for operators, cut to what fits into an answer."""
+        ledger, now = self.ledger, self.now()
+        jobs = []
+        for job in sorted(ledger.jobs.values(), key=lambda job: job.spec.at)[:OVERVIEW_ROWS]:
+            phase, done, running = ledger.phase_of(job)
+            jobs.append({
+                "uid": job.uid, "crew": job.spec.crew, "breed": job.spec.breed,
+                "urgency": job.spec.urgency, "phase": phase, "waiting": job.waiting(),
+                "running": running, "done": done, "pieces": job.spec.pieces,
+                "awaits": ledger.awaited_by(job.uid, OVERVIEW_AWAITS)})
+        machines = []
+        for machine in sorted(ledger.machines.values(), key=lambda m: m.name)[:OVERVIEW_ROWS]:
+            notes = [
+                machine.condemned, "cordoned" if machine.cordoned else "",
+                f"kept for {machine.held_for}" if now < machine.held_until else "",
+                "is taken soon" if machine.warn_at is not None else ""]
+            machines.append({
+                "name": machine.name, "build": ledger.builds[machine.build],
+                "zone": ledger.zones[machine.zone],
+                "kind": "spot" if machine.borrowed else "ordinary", "phase": machine.phase,
+                "cpus": machine.cap[0], "used": round(machine.used[0], 3),
+                "note": ", ".join(note for note in notes if note)})
+        teams = [
+            {"name": name, "cpus": round(ledger.usage[n][0], 3),
+             "guaranteed": ledger.guarantees[n][0], "most": ledger.caps[n][0]}
+            for n, name in enumerate(ledger.crews.names)]
+        return {
+            "leader": self.term.node.settings.member, "token": self.term.token,
+            "ready": ledger.ready,
+            "teams": teams, "jobs": jobs, "jobs_total": len(ledger.jobs),
+            "machines": machines, "machines_total": len(ledger.machines)}
+
+    def account(self, now: float) -> None:
+        """Where the rented CPU-seconds go: the metric behind price and useful share."""
+        passed, self.accounted = now - self.accounted, now
+        for machine in self.ledger.machines.values():
+            if machine.phase != UP:
+                self.spent[machine.phase] = (
+                    self.spent.get(machine.phase, 0.0) + machine.cap[0] * passed)
+                continue
+            free = max(0.0, machine.cap[0] - machine.used[0])
+            why = placement.unusable(self.ledger, machine, now)
+            use = f"free, {why}" if why else "free"
+            self.spent[use] = self.spent.get(use, 0.0) + free * passed
+            for binding in machine.bindings.values():
+                what = binding.phase or "starting"
+                self.spent[what] = self.spent.get(what, 0.0) + binding.need[0] * passed
+        for what, amount in self.spent.items():
+            metrics.SPENT.labels(what).set(amount)
+
+    def show(self) -> None:
+        if self.now() - self.accounted < ACCOUNT_S:
+            return
+        self.account(self.now())
+        phases: dict[str, int] = {}
+        for machine in self.ledger.machines.values():
+            phases[machine.phase] = phases.get(machine.phase, 0) + 1
+        for phase in ("up", "booting", "lost"):
+            metrics.MACHINES.labels(phase).set(phases.get(phase, 0))
+        now = self.now()
+        if now - self.shown >= SHOW_S:
+            self.shown = now
+            machines = [m for m in self.ledger.machines.values() if m.phase == UP]
+            log.info(
+                "fleet %s; %.0f of %.0f CPUs booked, %d idle; %d jobs, %d tasks waiting, %d bound; "
+                "CPU-seconds spent: %s",
+                phases, sum(m.used[0] for m in machines), sum(m.cap[0] for m in machines),
+                sum(1 for m in machines if not m.busy()), len(self.ledger.jobs),
+                sum(job.waiting() for job in self.ledger.jobs.values()),
+                sum(len(job.bindings) for job in self.ledger.jobs.values()),
+                ", ".join(f"{what} {amount:.0f}" for what, amount in self.spent.items()))
+        metrics.ACTIVE.set(len(self.ledger.jobs))
+        metrics.AWAITING.set(sum(1 for job in self.ledger.jobs.values() if job.awaiting))
+        metrics.WAITING.set(sum(job.waiting() for job in self.ledger.jobs.values()))
