--- a/src/salthead/coordination/ledger.py
+++ b/src/salthead/coordination/ledger.py
@@ -114,6 +114,7 @@
         self.factors: dict[str, float] = {}  # of estimates, as the pipelines' due times use them
         self.doomed: dict[str, None] = {}  # jobs whose outcome follows, and is to be written
         self.on_change: Callable[[], None] = lambda: None
+        self.on_complete: Callable[[], None] = lambda: None  # all tasks of a job are done
         # Placement, called between what a report says and the starts that its answer carries.
         self.on_room: Callable[[Machine, float], None] = lambda machine, now: None
         self.recently_gone: dict[str, float] = {}
@@ -194,6 +195,8 @@
                 job.done[one] = 1
                 job.n_done += 1
                 job.dirty.add(one)
+        if job.complete:
+            self.on_complete()
         self.on_change()
 
     def saved(self, job: Job, indices: Iterable[int]) -> None:
--- a/src/salthead/coordination/pipelines.py
+++ b/src/salthead/coordination/pipelines.py
@@ -128,6 +128,11 @@
             self._update(before for before in node.open if before in self.nodes)
         return list(after)
 
+    def awaited(self, uid: str) -> bool:
+        """Whether another job awaits this one."""
+        node = self.nodes.get(uid)
+        return node is not None and bool(node.after)
+
     def is_unsure(self, uid: str) -> bool:
         """Whether the job needs, directly or through others, one of which nothing is known."""
         if not self.unsure:
--- a/src/salthead/term.py
+++ b/src/salthead/term.py
@@ -68,11 +68,13 @@
         self.clock = clock
         self.ledger = Ledger(node.limits, token, node.now(), time.time())
         self.ledger.on_change = self.wake
+        self.completed = asyncio.Event()
+        self.ledger.on_complete = self.completed.set
         self.ledger.on_room = self.offer
         self.ledger.set_flavors(node.flavors.values())
         self.changed = asyncio.Event()
         self.parts, self.roster = self.new_pages()
-        self.save_at = self.roster_at = -1e9
+        self.roster_at = -1e9
         self.background: set[asyncio.Task[None]] = set()
         self.end_lock = asyncio.Lock()
         self.renewal_failed = False
@@ -121,7 +123,7 @@
                 await self.node.rest(0.3)
         self.spawn(self.join_all(self.ledger.unheard()))
         loops = [self.feed.watch_loop(), self.feed.await_loop(), self.decide_loop(),
-                 self.save_loop(), self.roster_loop(), self.rental.list_loop(),
+                 self.outcome_loop(), self.save_loop(), self.roster_loop(), self.rental.list_loop(),
                  self.rental.fleet_loop(), self.stranger_loop(), self.deaf_loop(),
                  self.keep_loop()]
         async with asyncio.TaskGroup() as group:
@@ -456,18 +458,35 @@
         # What follows from a durable outcome may be told before it is written itself.
         return {"uid": uid, "phase": job.over or names.ABORTED}
 
+    async def outcome_loop(self) -> None:
+        """Outcomes, as soon as there are any: what awaits a job starts only after that."""
+        while True:
+            # Not wait_for, as in decide_loop.
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(SAVE_GAP_S):
+                    await self.completed.wait()
+            self.completed.clear()
+            try:
+                await self.save_outcomes()
+            except (Conflict, *TROUBLES) as error:
+                self.node.note("outcomes", error)
+                await self.node.rest(0.5)
+
     async def save_loop(self) -> None:
+        """Done tasks of jobs that go on; outcomes do not wait for these."""
         while True:
-            await self.node.rest(SAVE_GAP_S)
+            await self.node.rest(PART_GAP_S)
             try:
-                await self.save()
+                await self.clear_leftovers()
+                await self.save_parts()
             except (Conflict, *TROUBLES) as error:
                 self.node.note("save", error)
                 await self.node.rest(0.5)
 
-    async def save(self) -> None:
+    async def save_outcomes(self) -> None:
         over = [job for job in self.ledger.jobs.values()
                 if job.complete and not job.over and not job.doomed]
+        over.sort(key=lambda job: not self.ledger.pipelines.awaited(job.uid))
         most = max(1, self.kept.txn_ops // 2)
         for at in range(0, len(over), most):
             await self.end_jobs(over[at:at + most], names.DONE)
@@ -475,9 +494,8 @@
         doomed = [self.ledger.jobs[uid] for uid in islice(self.ledger.doomed, 4 * most)]
         for at in range(0, len(doomed), most):
             await self.end_jobs(doomed[at:at + most], names.ABORTED)
-        if self.now() < self.save_at:
-            return
-        await self.clear_leftovers()
+
+    async def save_parts(self) -> None:
         covered: list[tuple[Job, list[int]]] = []
         for job in self.ledger.jobs.values():
             if job.over or not job.dirty:
@@ -488,7 +506,6 @@
             await self.write_pages(self.parts)
         for job, done in covered:
             self.ledger.saved(job, done)
-        self.save_at = self.now() + PART_GAP_S
 
     async def clear_leftovers(self) -> None:
         """Drop what continued the records of jobs that are over."""
