--- a/src/salthead/coordination/fleet.py
+++ b/src/salthead/coordination/fleet.py
@@ -187,7 +187,7 @@
     slots: list[Slot] = []
     soon_s = 0.7 * least_boot_s(ledger)
     runs = {job.uid: ledger.estimates.run_s(job.spec.breed, job.spec.guess_s)
-            for job in ledger.jobs.values()}
+            for job in ledger.live.values()}
     for machine in ledger.machines.values():
         if machine.condemned or machine.returning or machine.warn_at is not None:
             continue
@@ -273,7 +273,7 @@
     cheapest = sorted(costs, key=lambda kind: (costs[kind], kind))
     # The largest first, and of these the ones that suit the fewest kinds of machines.
     rows = []
-    for job in ledger.jobs.values():
+    for job in ledger.live.values():
         count = sum(1 for binding in job.bindings.values() if binding.stop is None)
         if count and not job.complete:
             rows.append((job, count))
--- a/src/salthead/coordination/ledger.py
+++ b/src/salthead/coordination/ledger.py
@@ -102,6 +102,8 @@
         self.usage = [[0.0, 0.0] for _ in limits.teams]
         self.rest_until = [0.0 for _ in limits.teams]  # until then no quota is kept for gangs
         self.jobs: dict[str, Job] = {}
+        # Those that wait for no other job: what passes and plans look at.
+        self.live: dict[str, Job] = {}
         self.machines: dict[str, Machine] = {}
         self.loaded = False
         self.ready = False
@@ -221,6 +223,7 @@
             if len(self.crew_of) > 5000:
                 self.crew_of.pop(next(iter(self.crew_of)))
             del self.jobs[job.uid]
+            self.live.pop(job.uid, None)
 
     # -- bookings -----------------------------------------------------------------------
 
--- a/src/salthead/coordination/placement.py
+++ b/src/salthead/coordination/placement.py
@@ -19,12 +19,15 @@
 
 
 def entitled(ledger: Ledger) -> set[str]:
-    """Jobs that fit into their team's guarantee together with the team's earlier ones."""
+    """Jobs that fit into their team's guarantee together with the team's earlier ones.
+
+    What waits for other jobs holds no part of a guarantee, and is not among the live ones.
+    """
     within: set[str] = set()
     sums = [[0.0, 0.0] for _ in ledger.guarantees]
-    for job in sorted(ledger.jobs.values(), key=lambda job: (job.since, job.uid)):
-        if job.over or job.awaiting or job.doomed:
-            continue  # what waits for others holds no part of a guarantee
+    for job in sorted(ledger.live.values(), key=lambda job: (job.since, job.uid)):
+        if job.over:
+            continue
         total, size, most = sums[job.crew], job.size(), ledger.guarantees[job.crew]
         total[0] += size[0]
         total[1] += size[1]
@@ -41,7 +44,7 @@
     after it miss it as well.
     """
     waiting = [
-        job for job in ledger.jobs.values()
+        job for job in ledger.live.values()
         if not job.failed and job.uid not in ledger.ghost_jobs and job.waiting() > 0
         and ledger.may_place(job)
     ]
--- a/src/salthead/coordination/waiting.py
+++ b/src/salthead/coordination/waiting.py
@@ -30,6 +30,7 @@
         due)
     job.awaiting = bool(ledger.pipelines.nodes[job.uid].open)
     if not job.awaiting:
+        ledger.live[job.uid] = job
         _count_from(ledger, job)
     if any(known.doomed or known.over == names.ABORTED
            for uid in awaits if (known := ledger.jobs.get(uid)) is not None):
@@ -48,6 +49,7 @@
     for uid in uids:
         job = ledger.jobs[uid]
         job.awaiting = False
+        ledger.live[uid] = job
         _count_from(ledger, job)
         log.info("job %s is ready", uid)
     if uids:
@@ -59,6 +61,7 @@
     for uid in uids:
         job = ledger.jobs[uid]
         job.doomed = True
+        ledger.live.pop(uid, None)
         ledger.doomed[uid] = None
         for binding in list(job.bindings.values()):
             ledger.want_stop(binding, 0.0)
--- a/src/salthead/term.py
+++ b/src/salthead/term.py
@@ -484,8 +484,7 @@
                 await self.node.rest(0.5)
 
     async def save_outcomes(self) -> None:
-        over = [job for job in self.ledger.jobs.values()
-                if job.complete and not job.over and not job.doomed]
+        over = [job for job in self.ledger.live.values() if job.complete and not job.over]
         over.sort(key=lambda job: not self.ledger.pipelines.awaited(job.uid))
         most = max(1, self.kept.txn_ops // 2)
         for at in range(0, len(over), most):
@@ -497,7 +496,7 @@
 
     async def save_parts(self) -> None:
         covered: list[tuple[Job, list[int]]] = []
-        for job in self.ledger.jobs.values():
+        for job in self.ledger.live.values():
             if job.over or not job.dirty:
                 continue
             covered.append((job, list(job.dirty)))
--- a/src/salthead/views.py
+++ b/src/salthead/views.py
@@ -97,9 +97,9 @@
                 "CPU-seconds spent: %s",
                 phases, sum(m.used[0] for m in machines), sum(m.cap[0] for m in machines),
                 sum(1 for m in machines if not m.busy()), len(self.ledger.jobs),
-                sum(job.waiting() for job in self.ledger.jobs.values()),
+                sum(job.waiting() for job in self.ledger.live.values()),
                 sum(len(job.bindings) for job in self.ledger.jobs.values()),
                 ", ".join(f"{what} {amount:.0f}" for what, amount in self.spent.items()))
         metrics.ACTIVE.set(len(self.ledger.jobs))
         metrics.AWAITING.set(sum(1 for job in self.ledger.jobs.values() if job.awaiting))
-        metrics.WAITING.set(sum(job.waiting() for job in self.ledger.jobs.values()))
+        metrics.WAITING.set(sum(job.waiting() for job in self.ledger.live.values()))
--- a/tests/test_scale.py
+++ b/tests/test_scale.py
@@ -12,9 +12,11 @@
 from collections.abc import Callable
 from typing import Any
 
+import msgspec
 import pytest
 
 from helpers import LIMITS, job, machine, ready, report, spec
+from salthead.bookkeeping import records
 from salthead.coordination import fleet, placement
 from salthead.coordination.ledger import Ledger
 from salthead.views import OVERVIEW_ROWS
@@ -215,3 +217,100 @@
 
     most, ups = run(day)
     assert ups >= 16 and 0 < most <= 12
+
+
+def fan(waiting_jobs: int, machines: int = 20) -> Ledger:
+    """A fleet that is booked out, and jobs that all wait for the first."""
+    led = full(machines, jobs=10)
+    job(led, uid="req-900000", pieces=1)
+    for n in range(waiting_jobs):
+        job(led, uid=f"req-{900001 + n}", awaits=["req-900000"], pieces=3)
+    return led
+
+
+def test_jobs_that_wait_for_others_cost_nothing_per_report_pass_or_plan() -> None:
+    def costs(waiting_jobs: int) -> list[int]:
+        led = fan(waiting_jobs)
+        led.on_report(report("m1", 2, *shown(led, "m1")), 1.0)
+        one = report("m1", 3, *shown(led, "m1", 1))
+        found = [
+            calls(lambda: led.on_report(one, 2.0)),
+            calls(lambda: placement.place(led, random.Random(1), 10.0)),
+            calls(lambda: fleet.plan(led, 10.0, fleet.Refusals(), {})),
+        ]
+        led.tick(11.0)  # the task that ended has moved an estimate, and due times follow once
+        return [*found, calls(lambda: led.tick(11.1))]
+
+    assert costs(2000) == costs(20)
+
+
+@pytest.mark.parametrize("phase", ["done", "aborted"])
+def test_the_end_of_a_job_that_many_await_costs_a_few_calls_for_each(phase: str) -> None:
+    def cost(waiting_jobs: int) -> int:
+        led = fan(waiting_jobs)
+        found = calls(lambda: led.end_job(led.jobs["req-900000"], phase, 5.0))
+        assert len(led.doomed) == (waiting_jobs if phase == "aborted" else 0)
+        return found
+
+    assert cost(1000) <= cost(100) * 12 and cost(1000) < 30_000
+
+
+def test_a_chain_of_hundreds_neither_recurses_nor_grows_faster_than_it_is_long() -> None:
+    def chain(length: int) -> Ledger:
+        led = ready()
+        for n in range(length):
+            job(led, uid=f"req-{n}", awaits=[f"req-{n - 1}"] if n else None, pieces=1)
+        return led
+
+    def cost(length: int) -> tuple[int, int]:
+        led = chain(length)
+        # The last one's urgency and due time reach the first.
+        last = calls(lambda: job(led, uid="req-999999", awaits=[f"req-{length - 1}"],
+                                 urgency="prod", due_s=1e6))
+        assert led.jobs["req-0"].rank == 0 and led.jobs["req-0"].due[0] < 1e6
+        end = calls(lambda: led.end_job(led.jobs["req-0"], "aborted", 5.0))
+        assert len(led.doomed) == length
+        return last, end
+
+    few, many = cost(300), cost(3000)
+    assert many[0] <= few[0] * 12 and many[1] <= few[1] * 12
+
+
+def test_a_takeover_with_hundreds_of_waiting_jobs_reads_a_few_records() -> None:
+    # What awaits nothing is placed before that; what waits for jobs that go on needs no read.
+    async def day() -> tuple[float, int, World]:
+        world = World(seed=4)
+        world.state.limits["write_rps"] = 1e9
+        first = spec("req-1", pieces=1, guess_s=400.0)
+        rows = [first] + [spec(f"req-{n}", awaits=["req-1"], pieces=1) for n in range(2, 600)]
+        rows += [spec(f"req-{n}", awaits=["req-5000", "req-5001"], pieces=1)
+                 for n in range(600, 700)]
+        for one in rows:
+            world.state.keys[f"job/{one.uid}"] = (msgspec.to_builtins(one), 1, None)
+            world.specs[one.uid] = one
+        for n in (5000, 5001):
+            world.specs[f"req-{n}"] = spec(f"req-{n}", pieces=1)
+            world.done.add(f"req-{n}/0")
+            world.state.keys[f"over/req-{n}"] = (
+                records.over_value(world.specs[f"req-{n}"], "done", 990.0), 1, None)
+        reads = 0
+        inner = world.state.handle
+
+        async def handle(method: str, path: str, query: Any, body: Any) -> Any:
+            nonlocal reads
+            reads += path.startswith("/keys/") and path != "/keys/lead"
+            return await inner(method, path, query, body)
+
+        world.state.handle = handle  # type: ignore[method-assign]
+        while (leader := world.leader()) is None or not leader.term.ledger.loaded:
+            await asyncio.sleep(0.05)
+        began = world.now()
+        while leader.term.ledger.pipelines.unsure:
+            await asyncio.sleep(0.05)
+        ledger = leader.term.ledger
+        assert sum(one.awaiting for one in ledger.jobs.values()) == 598
+        assert ledger.jobs["req-650"].since < 1000.5
+        return world.now() - began, reads, world
+
+    took, reads, world = run(day)
+    assert took < 2.0 and reads < 20 and world.broken == []
