--- a/src/salthead/coordination/preemption.py
+++ b/src/salthead/coordination/preemption.py
@@ -54,9 +54,11 @@
 
 
 def may_stop(
-    ledger: Ledger, job: Job, victim: Binding, within: set[str], now: float,
+    ledger: Ledger, job: Job, rank: int, victim: Binding, within: set[str], now: float,
 ) -> bool:
-    """The protocol's three sentences on preemption, and one restraint of ours.
+    """Whether the job, which pushes with this rank, may have the task stopped.
+
+    The protocol's three sentences on preemption, and one restraint of ours.
 
     For a guarantee, work is stopped only once machines hired for the job could have been up
     several times over, and a gang only once. Short tasks make way by themselves sooner than a
@@ -67,7 +69,7 @@
     other = victim.job
     if other is None or other is job or other.complete:
         return False
-    if other.rank > rank_to_push(ledger, job, now):
+    if other.rank > rank:
         return True
     if job.uid not in within or other.crew == job.crew or other.uid in within:
         return False
@@ -139,6 +141,7 @@
     ledger: Ledger, job: Job, base: list[Machine], wanted: int, within: set[str], now: float,
 ) -> tuple[float, list[tuple[Machine, list[Binding]]]] | None:
     restart_s = 2.0 * ledger.limits.workers.report_s
+    rank = rank_to_push(ledger, job, now)
     room: dict[str, list[float]] = {}
     options: dict[str, list[tuple[float, Binding]]] = {}
     # The cheapest machine is taken first, and then only its own price is worked out anew.
@@ -150,7 +153,7 @@
             if binding.stop is not None:  # it goes anyway
                 for n in range(3):
                     left[n] += binding.need[n]
-            elif may_stop(ledger, job, binding, within, now):
+            elif may_stop(ledger, job, rank, binding, within, now):
                 stoppable.append((lost_work(binding, now, restart_s), binding))
         stoppable.sort(key=lambda pair: pair[0], reverse=True)
         room[machine.name] = left
--- a/tests/test_pipelines.py
+++ b/tests/test_pipelines.py
@@ -182,8 +182,9 @@
     # Others of a lower rank are stopped for what inherits a higher one.
     low = job(led, uid="req-6", urgency="urgent", crew="blue")
     binding = led.bind(low, 0, led.machines["m1"], 99, 0.0)
-    assert not preemption.may_stop(led, first, binding, set(), 5.0), "there is time yet"
-    assert preemption.may_stop(led, first, binding, set(), 15.0)
+    for now, may in ((5.0, False), (15.0, True)):  # at first there is time yet
+        rank = preemption.rank_to_push(led, first, now)
+        assert preemption.may_stop(led, first, rank, binding, set(), now) == may
     led.end_job(led.jobs["req-7"], names.ABORTED, 5.0)
     assert first.rank == 2 and first.due == NEVER and led.ranks == [0, 1, 4, 0]
 
