--- a/src/salthead/coordination/ledger.py
+++ b/src/salthead/coordination/ledger.py
@@ -14,6 +14,7 @@
 from collections.abc import Callable, Iterable
 from typing import Any
 
+from salthead.coordination import waiting
 from salthead.coordination.estimates import Arrivals, Estimates, Promptness
 from salthead.coordination.lease import surely_over
 from salthead.coordination.model import (
@@ -101,6 +102,8 @@
         self.usage = [[0.0, 0.0] for _ in limits.teams]
         self.rest_until = [0.0 for _ in limits.teams]  # until then no quota is kept for gangs
         self.jobs: dict[str, Job] = {}
+        # Those that wait for no other job: what passes and plans look at.
+        self.live: dict[str, Job] = {}
         self.machines: dict[str, Machine] = {}
         self.loaded = False
         self.ready = False
@@ -113,6 +116,7 @@
         self.factors: dict[str, float] = {}  # of estimates, as the pipelines' due times use them
         self.doomed: dict[str, None] = {}  # jobs whose outcome follows, and is to be written
         self.on_change: Callable[[], None] = lambda: None
+        self.on_complete: Callable[[], None] = lambda: None  # all tasks of a job are done
         # Placement, called between what a report says and the starts that its answer carries.
         self.on_room: Callable[[Machine, float], None] = lambda machine, now: None
         self.recently_gone: dict[str, float] = {}
@@ -165,94 +169,10 @@
         if len(fitting) == 1 < len(self.flavors):
             self.scarce |= fitting
         job.choosy = fitting <= self.scarce
-        self._join(job)
+        waiting.join(self, job)
         self.on_change()
         return job
 
-    # -- pipelines ----------------------------------------------------------------------
-
-    def _join(self, job: Job) -> None:
-        """Find the job's place among those that wait for others."""
-        spec, awaits = job.spec, job.spec.awaits or []
-        job.since = job.submitted
-        due = (math.inf, math.inf)
-        if spec.due_s is not None:
-            times = [aim.times for aim in self.limits.objectives
-                     if aim.kind == "deadline" and aim.breed == spec.breed]
-            due = (job.submitted + spec.due_s * min(times, default=1.0),
-                   job.submitted + spec.due_s * max(times, default=1.0))
-        self.pipelines.add(
-            job.uid, awaits, job.rank, spec.breed, self.estimates.run_s(spec.breed, spec.guess_s),
-            due)
-        job.awaiting = bool(self.pipelines.nodes[job.uid].open)
-        if not job.awaiting:
-            self._count_from(job)
-        if any(known.doomed or known.over == names.ABORTED
-               for uid in awaits if (known := self.jobs.get(uid)) is not None):
-            self._doom([job.uid, *self.pipelines.aborted(job.uid)])
-        self._inherit()
-
-    def _count_from(self, job: Job) -> None:
-        ended = self.pipelines.ended
-        job.since = max([job.submitted, *(
-            at for uid in job.spec.awaits or [] if (at := ended.get(uid)) is not None)])
-
-    def _ready(self, uids: list[str]) -> None:
-        """All that these await is durably done."""
-        for uid in uids:
-            job = self.jobs[uid]
-            job.awaiting = False
-            self._count_from(job)
-            log.info("job %s is ready", uid)
-        if uids:
-            self.on_change()
-
-    def _doom(self, uids: list[str]) -> None:
-        """A job that these need was cancelled, durably: their end follows from that."""
-        for uid in uids:
-            job = self.jobs[uid]
-            job.doomed = True
-            self.doomed[uid] = None
-            for binding in list(job.bindings.values()):
-                self.want_stop(binding, 0.0)
-        if uids:
-            log.info("%d jobs end with one that they need: %s", len(uids), ", ".join(uids[:5]))
-            self.on_change()
-
-    def settle(self, uid: str, phase: str, at: float | None, now: float) -> None:
-        """What a record says of a job that others await, and that ended before this term.
-
-        ``at`` is the time of day; clocks differ within their bound, so it is no later than now.
-        """
-        if phase == names.DONE:
-            ended = now if at is None else min(now, at - self.wall_ahead)
-            self._ready(self.pipelines.done(uid, ended))
-        else:
-            self._doom(self.pipelines.aborted(uid))
-        self._inherit()
-
-    def _inherit(self) -> None:
-        """Ranks and due times that have changed with the graph."""
-        for uid, node in self.pipelines.take_moved():
-            job = self.jobs.get(uid)
-            if job is None:
-                continue
-            job.due = node.inherited_due
-            self.ranks[job.rank] -= len(job.bindings)
-            job.rank = node.inherited_rank
-            self.ranks[job.rank] += len(job.bindings)
-
-    def revise_runs(self) -> None:
-        """Where estimates of run times have moved by more than a tenth, so do due times."""
-        for breed, uids in self.pipelines.breeds.items():
-            factor = self.estimates.factor(breed)
-            if abs(factor - self.factors.get(breed, 1.0)) > 0.1 * factor:
-                self.factors[breed] = factor
-                self.pipelines.revise(
-                    (uid, self.estimates.run_s(breed, self.jobs[uid].spec.guess_s))
-                    for uid in uids)
-        self._inherit()
-
     def fitting(self, job: Job) -> set[int]:
         """Types that a task of the job may be on and fits on."""
         return {
@@ -277,6 +197,8 @@
                 job.done[one] = 1
                 job.n_done += 1
                 job.dirty.add(one)
+        if job.complete:
+            self.on_complete()
         self.on_change()
 
     def saved(self, job: Job, indices: Iterable[int]) -> None:
@@ -288,15 +210,7 @@
         """The outcome is durable: stop what is left and forget the job once it is gone."""
         job.over = phase
         job.dirty.clear()
-        self.doomed.pop(job.uid, None)
-        if phase == names.DONE:
-            node = self.pipelines.nodes.get(job.uid)
-            for uid in node.after if node is not None else ():
-                self.jobs[uid].fresh = True  # until now nobody could start it
-            self._ready(self.pipelines.done(job.uid, now))
-        else:
-            self._doom(self.pipelines.aborted(job.uid))
-        self._inherit()
+        waiting.ended(self, job, phase, now)
         for binding in list(job.bindings.values()):
             if phase == names.ABORTED:
                 self.want_stop(binding, 0.0)
@@ -309,6 +223,7 @@
             if len(self.crew_of) > 5000:
                 self.crew_of.pop(next(iter(self.crew_of)))
             del self.jobs[job.uid]
+            self.live.pop(job.uid, None)
 
     # -- bookings -----------------------------------------------------------------------
 
@@ -478,7 +393,7 @@
     def tick(self, now: float) -> None:
         """What time alone decides: leases that are surely over, and the end of a takeover."""
         lease_s = self.limits.workers.lease_s
-        self.revise_runs()
+        waiting.revise_runs(self)
         for machine in self.machines.values():
             if machine.phase == UP and now > surely_over(
                 max(machine.answered, self.leases_from,
