--- a/tests/test_messages.py
+++ b/tests/test_messages.py
@@ -51,6 +51,9 @@
         ({"crew": ""}, "crew"),
         ({"vcpus": 0.0, "accelerators": 0.0, "ram_gb": 0.0}, "vcpus"),
         ({"breed": "b" * 300}, "breed"),
+        ({"awaits": "req-1"}, "awaits"),
+        ({"awaits": [1]}, "awaits"),
+        ({"awaits": {"req-1": 1}}, "awaits"),
     ],
 )
 def test_a_bad_field_is_named(change: dict[str, Any], named: str) -> None:
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -52,6 +52,9 @@
         ("lease_s = 11.0", 'lease_s = "long"', "$.settings.workers.lease_s"),
         ("lease_s = 11.0", "lease_s = -1.0", "settings.workers.lease_s"),
         ("txn_ops = 12", "txn_ops = 1.5", "$.settings.state.txn_ops"),
+        ("txn_ops = 12", "txn_ops = 12\nnext = 5", "$.settings.state.next"),
+        ("txn_ops = 12", "txn_ops = 12\nnext = { value_kb = 0.0 }", "state.next.value_kb"),
+        ("txn_ops = 12", "txn_ops = 12\nnext = { txn_ops = 1.5 }", "state.next.txn_ops"),
         ('zones = ["a"]', "zones = []", "settings.zones"),
         ('cloud = "127.0.0.1:1"', 'cloud = "nowhere"', "endpoints.cloud"),
         ('client_listen = "127.0.0.1:8080"', 'client_listen = "127.0.0.1:99999"', "client_listen"),
@@ -70,6 +73,24 @@
     assert "\n" not in str(error.value)
 
 
+@pytest.mark.parametrize(
+    ("next_limits", "kept"),
+    [
+        ("", (60.0, 20.0, 4.0, 12)),
+        ("next = {}", (60.0, 20.0, 4.0, 12)),
+        ("next = { write_rps = 15.0, value_kb = 2.0, txn_ops = 4 }", (60.0, 15.0, 2.0, 4)),
+        ("next = { value_kb = 64.0, txn_ops = 4, new_field = 1 }", (60.0, 20.0, 4.0, 4)),
+    ],
+)
+def test_the_smaller_of_the_limits_now_and_next_is_kept(
+    tmp_path: Path, next_limits: str, kept: tuple[float, float, float, int],
+) -> None:
+    path = tmp_path / "s.toml"
+    path.write_text(GOOD.replace("txn_ops = 12", f"txn_ops = 12\n{next_limits}"))
+    found = load(path).settings.state.kept()
+    assert (found.rps, found.write_rps, found.value_kb, found.txn_ops) == kept
+
+
 def test_serve_ends_with_one_line(tmp_path: Path) -> None:
     result = CliRunner().invoke(main, ["serve", "--config", str(tmp_path / "missing.toml")])
     assert result.exit_code != 0
