--- a/src/salthead/coordination/fleet.py
+++ b/src/salthead/coordination/fleet.py
@@ -238,9 +238,13 @@
         within = placement.entitled(ledger)
         line = placement.queue(ledger, within, now)
         span = horizon(ledger, line, now)
-        pool = Pool(slots, min((job.need[0] for job in line), default=0.0))
+        soon = soon_ready(ledger, now)
+        pool = Pool(slots, min((job.need[0] for job in [*line, *soon]), default=0.0))
         for job in line:
-            _provide(ledger, job, pool, new, left[job.crew], span, refusals, now)
+            _provide(ledger, job, job.waiting(), pool, new, left[job.crew], span, refusals, now)
+        for job in soon:
+            _provide(
+                ledger, job, job.spec.pieces, pool, new, left[job.crew], span, refusals, now)
     counts: dict[Kind, int] = defaultdict(int)
     for slot in new:
         counts[slot.kind] += 1
@@ -256,6 +260,26 @@
     return result
 
 
+def soon_ready(ledger: Ledger, now: float) -> list[Job]:
+    """Jobs that will wait for nothing more by the time that a new machine could be up."""
+    boot_s = least_boot_s(ledger)
+    found = []
+    for uids in ledger.pipelines.breeds.values():
+        for uid in uids:
+            before = [ledger.live.get(other) for other in ledger.pipelines.nodes[uid].open]
+            if all(other is not None and not other.waiting() and end_s(ledger, other, now) <= boot_s
+                   for other in before):
+                found.append(ledger.jobs[uid])
+    return found
+
+
+def end_s(ledger: Ledger, job: Job, now: float) -> float:
+    """How long the last of a job's tasks should go on, all of which have a machine."""
+    run_s = ledger.estimates.run_s(job.spec.breed, job.spec.guess_s)
+    return max((left_s(run_s, now - binding.started) if binding.started else run_s
+                for binding in job.bindings.values()), default=0.0)
+
+
 def mark_surplus(ledger: Ledger, needed: set[str], now: float) -> None:
     """Cordon machines without which all that runs and waits would have fitted for a while.
 
@@ -362,10 +386,9 @@
 
 
 def _provide(
-    ledger: Ledger, job: Job, pool: Pool, new: list[Slot], left: list[float], span: float,
-    refusals: Refusals, now: float,
+    ledger: Ledger, job: Job, count: int, pool: Pool, new: list[Slot], left: list[float],
+    span: float, refusals: Refusals, now: float,
 ) -> None:
-    count = job.waiting()
     for n in range(2):
         if job.need[n] > 0:
             count = min(count, max(0, math.floor((left[n] + 1e-6) / job.need[n])))
--- a/tests/test_pipelines.py
+++ b/tests/test_pipelines.py
@@ -138,6 +138,53 @@
     assert sum(plan.hires.values()) == 1, "for req-1 alone"
 
 
+@pytest.mark.parametrize(
+    ("started", "left", "awaits", "hired"),
+    [
+        (True, 4.0, ["req-1"], True),
+        (True, 60.0, ["req-1"], False),  # a machine would be up long before it is ready
+        (False, 4.0, ["req-1"], False),  # nobody knows when that will begin
+        (True, 4.0, ["req-1", "req-2"], False),  # one that waits itself is before it
+        (True, 4.0, ["req-1", "req-5"], False),  # one of which nothing is known
+    ],
+)
+def test_machines_are_hired_for_what_will_be_ready_when_they_are_up(
+    started: bool, left: float, awaits: list[str], hired: bool,
+) -> None:
+    # Seen on rollout, moana-buoys-next: the steps of a pipeline found no room one after the other,
+    # and each waited for a boot.
+    led = ready()
+    found = machine(led, "m1")
+    first = job(led, uid="req-1", pieces=1, vcpus=8.0, guess_s=20.0)
+    if started:
+        led.bind(first, 0, found, 1, 0.0).started = 100.0 + left - 20.0
+    else:
+        led.live["req-1"].awaiting = False
+    job(led, uid="req-2", awaits=["req-1"], pieces=1, vcpus=0.1)
+    job(led, uid="req-9", awaits=awaits, pieces=40, vcpus=8.0, guess_s=300.0)
+    plan = fleet.plan(led, 100.0, fleet.Refusals(), {})
+    # Of the team's limit eight machines' worth, of which the first job holds one.
+    assert (sum(plan.hires.values()) >= 6) == hired
+
+
+def test_a_new_leader_tells_nothing_old_before_it_has_read_what_became_of_the_root() -> None:
+    # The user was told of the cancellation long ago: the record of what needs it is still under
+    # job/, and the ledger does not know better yet.
+    async def day() -> list[Any]:
+        world = World(nodes=1)
+        rows = records_of(*LINE[:4], over={"req-1": "aborted"})
+        for key, value in rows.items():
+            world.state.keys[key] = (value, 1, None)
+        while (leader := world.leader()) is None or not leader.term.ledger.loaded:
+            await asyncio.sleep(0.001)
+        assert leader.term.ledger.pipelines.is_unsure("req-4")
+        found = await leader.poll("req-4")
+        again = await leader.submit(spec("req-3"))
+        return [found["phase"], again[1]["phase"]]
+
+    assert run(day) == ["aborted", "aborted"]
+
+
 def test_it_starts_when_the_end_of_the_last_is_durable_and_counts_from_then() -> None:
     led = ready()
     machine(led, "m1")
