--- a/tests/test_pages.py
+++ b/tests/test_pages.py
@@ -74,6 +74,36 @@
     assert [content for _, content in first.values()] == [{"b": ["y" * 700]}]
 
 
+def test_an_item_that_moves_twice_is_never_on_no_page() -> None:
+    # The page that it left first was written before the one that it is on now.
+    pages, service = Pages("p/", 1.0), {}
+    for name, size in (("a", 300), ("b", 300), ("c", 200)):
+        pages.set(name, ["x" * size])
+    write(pages, service)
+    pages.set("a", ["x" * 500])
+    pages.set("e", ["x" * 250])
+    pages.set("a", ["x" * 790])
+    assert len(pages.dirty) == 3
+    while pages.dirty:
+        write_one = pages.batch(1, 56.0)
+        for page, (_, content) in write_one.items():
+            service[pages.key(page)] = content
+        pages.written(write_one, 1)
+        assert any("a" in content for content in service.values())
+    assert loaded(service)["a"] == ["x" * 790]
+
+
+@pytest.mark.parametrize("newer", [0, 1])
+def test_an_item_on_two_pages_is_taken_from_the_one_written_last(newer: int) -> None:
+    pages = Pages("p/", 4.0)
+    for page in (0, 1):
+        pages.load(pages.key(page), {"a": [page], f"other-{page}": [9]}, 7 if page == newer else 3)
+    assert pages.pages[pages.where["a"]]["a"] == [newer] and pages.twice == {"a"}
+    service: dict[str, Any] = {}
+    write(pages, service)
+    assert service == {pages.key(1 - newer): {f"other-{1 - newer}": [9]}}, "the other is cleaned up"
+
+
 def test_what_changes_during_a_write_is_written_again() -> None:
     pages = Pages("p/", 4.0)
     pages.set("a", [1])
--- a/tests/test_pipelines.py
+++ b/tests/test_pipelines.py
@@ -490,8 +490,15 @@
         world.asked.add("req-1")
         world.cancelled["req-1"] = world.now()
         world.hear("req-1", found["phase"])
-        await world.crash(name)
+        # Told by the leader, and kept by the others, before it is written.
+        for other in world.nodes.values():
+            if other is not None:
+                body = await other.poll("req-29")
+                assert body is not None and body["phase"] == "aborted"
+        assert "over/req-29" not in world.state.keys
         world.state.down = True
+        assert await leader.cancel("req-28") == {"uid": "req-28", "phase": "aborted"}
+        await world.crash(name)
         await asyncio.sleep(60.0)  # longer than a cancellation has
         world.state.back()
         for other in world.names:
--- a/tests/test_upgrade.py
+++ b/tests/test_upgrade.py
@@ -320,6 +320,9 @@
         world.state.limits |= test_pipelines.NEXT
         flavors = {f"type-{n}": msgspec.structs.replace(FLAVORS[0], name=f"type-{n}")
                    for n in range(30)}
+        for key, page in OLD["roster"].items():  # machines that are gone, on pages of the old size
+            gone = {name.replace("host-", "host-9"): item for name, item in page.items()}
+            world.state.keys[key] = (gone, 1, None)
         world.state.keys["done/000000"] = (OLD["parts"]["done/000000"], 1, None)
         world.state.keys["job/req-000041"] = (
             OLD["job"] | {"pieces": 900, "guess_s": 1.0, "vcpus": 0.1, "ram_gb": 0.1}, 1, None)
