--- a/tests/test_pipelines.py
+++ b/tests/test_pipelines.py
@@ -506,6 +506,8 @@
                 for n in (2, 15, 29):
                     body = await world.user(lambda node, n=n: node.poll(f"req-{n}"))
                     world.hear(f"req-{n}", body["phase"])
+        while world.leader() is None:  # one that was told by the last leader
+            await asyncio.sleep(0.1)
         world.boot(name)
         await world.until_over()
         await asyncio.sleep(30.0)
