What is kept for others keeps no job waiting for 90 s beside room; suspicion of machines is bounded

Cause: room kept for a gang, a class's only type, quota kept for a gang, machines on which a job failed once, and the pause after a machine was deaf or failed tasks, had no bound of their own. A job that could start but for these may after 75 s; a line in front of a full fleet is no such case. Seen failing without it: test_no_hold_..., test_no_suspicion_...

--- a/src/salthead/coordination/ledger.py
+++ b/src/salthead/coordination/ledger.py
@@ -56,7 +56,7 @@
 SICK_ERRORS = 2
 # A job that fails on this many machines and completes nowhere is taken to be at fault itself.
 JOB_AT_FAULT = 3
-ERROR_PAUSE_S = 5.0
+ERROR_PAUSE_S, ERROR_MOST_S = 5.0, 30.0
 # Answers with the same start of which none was executed, before a machine is taken for deaf.
 DEAF_ANSWERS = 3
 
@@ -671,7 +671,9 @@
         if machine.deaf_since is not None:
             log.info("machine %s hears again", machine.name)
             machine.deaf_since = None
-            machine.trusted_at = now + self.limits.workers.report_s * 2.0 ** machine.deaf_times
+            machine.trusted_at = now + min(  # bounded, or jobs that it fits would wait for minutes
+                self.limits.workers.report_s * 2.0 ** machine.deaf_times,
+                self.limits.workers.lease_s)
             machine.freed = True
 
     def _image_seen(self, binding: Binding) -> None:
@@ -763,7 +765,7 @@
         """Tell a sick machine from a job that fails everywhere."""
         job.error_machines.add(machine.name)
         machine.error_jobs.add(job.uid)
-        machine.error_until = now + ERROR_PAUSE_S * len(machine.error_jobs)
+        machine.error_until = now + min(ERROR_MOST_S, ERROR_PAUSE_S * len(machine.error_jobs))
         job.wait_until = max(job.wait_until, now + min(30.0, 1.0 * len(job.error_machines)))
         blamed = [
             uid for uid in machine.error_jobs
--- a/src/salthead/coordination/model.py
+++ b/src/salthead/coordination/model.py
@@ -146,6 +146,7 @@
     behind: tuple[float, float] = (0.0, 0.0)  # quota kept for gangs before it in line
     room_until: float = 0.0  # until then room that was made for it by stops is awaited
     reserved_at: float | None = None  # since when its team's quota is kept for it
+    held_since: float | None = None  # since when only what is kept for others keeps it waiting
     short: bool = False  # of quota, at the last pass
     error_machines: set[str] = field(default_factory=set)
     first_start: float | None = None
--- a/src/salthead/coordination/placement.py
+++ b/src/salthead/coordination/placement.py
@@ -16,6 +16,9 @@
 
 FRESH_PERIODS = 3.0
 FIRST_PAUSE_S = 2.0
+# Whatever keeps room or quota for others keeps a job waiting for no longer than this beside room
+# that it could have. The users allow 90 s; the rest is for a pause and for the start to be told.
+HELD_MOST_S = 75.0
 
 
 def entitled(ledger: Ledger) -> set[str]:
@@ -61,8 +64,8 @@
     return first
 
 
-def quota_left(ledger: Ledger, job: Job) -> int:
-    """How many more tasks of the job its team's limit allows."""
+def quota_left(ledger: Ledger, job: Job, heed: bool = True) -> int:
+    """How many more tasks of the job its team's limit allows; ``heed`` what is kept of it."""
     if ledger.strangers:
         return 0  # a stray task's team is not known yet
     usage, most = ledger.usage[job.crew], ledger.caps[job.crew]
@@ -71,7 +74,7 @@
         if job.need[n] > 0:
             # Any team may be using all of the machines that have not been heard from.
             silent = 0.0 if ledger.ready else ledger.silent()[n]
-            free = most[n] - usage[n] - silent - job.behind[n]
+            free = most[n] - usage[n] - silent - (job.behind[n] if heed else 0.0)
             left = min(left, (free + EPS) // job.need[n])
     return max(0, int(left))
 
@@ -125,9 +128,28 @@
     return now - machine.heard > 1.25 * ledger.limits.workers.report_s + 1.0
 
 
+def insistent(job: Job, now: float) -> bool:
+    """Whether the job has been held back by what is kept for others for as long as may be."""
+    return job.held_since is not None and now - job.held_since >= HELD_MOST_S
+
+
+def held_back(ledger: Ledger, job: Job, now: float) -> bool:
+    """Whether the job could start if nothing were kept for others, nor avoided for its errors."""
+    left = job.spec.pieces if job.gang else 1
+    if quota_left(ledger, job, heed=False) < left:
+        return False
+    for machine in ledger.with_room(kinds(ledger, job), job.need):
+        if usable(ledger, machine, now):
+            left -= int(min((c - u + EPS) / n for c, u, n in
+                            zip(machine.cap, machine.used, job.need, strict=True) if n > 0))
+            if left <= 0:
+                return True
+    return False
+
+
 def open_to(ledger: Ledger, job: Job, machine: Machine, now: float) -> bool:
     """Not kept for another job, nor of the only type for one that waits unless time presses."""
-    return (
+    return insistent(job, now) or (
         not machine.held_for or machine.held_for == job.uid or now >= machine.held_until
     ) and machine.name not in job.error_machines and (
         not ledger.choosy_wait or job.choosy or machine.build not in ledger.scarce
@@ -338,6 +360,7 @@
         bound = place_array(ledger, job, rng, now, only)
     if bound:
         job.pause = 0.0
+        job.held_since = None
         level = logging.DEBUG if only is not None else logging.INFO
         log.log(level, "placed %d of %s, %d left", bound, job.uid, job.waiting())
         if job.waiting() == 0:
@@ -395,7 +418,9 @@
         judge(ledger, job, now)
         ahead = reserved[job.crew]
         job.behind = (0.0, 0.0)
-        if ahead is not None and (job.gang or order.pressing(ahead, now)):
+        if ahead is not None and not insistent(job, now) and (
+            job.gang or order.pressing(ahead, now)
+        ):
             job.behind = ahead.size()[:2]
         short = quota_left(ledger, job) < (job.spec.pieces if job.gang else 1)
         if job.short and not short:
@@ -413,6 +438,10 @@
             else:
                 log.debug("job %s waits: no candidate for %d tasks", job.uid, job.waiting())
             starved.append(job)
+            if not held_back(ledger, job, now):
+                job.held_since = None
+            elif job.held_since is None:
+                job.held_since = now
             job.pause = min(job.pause * 2 or FIRST_PAUSE_S, report_s)
             job.pause_until = now + job.pause
         # For one gang at a time, and then as long for nobody: else all that an overloaded team
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -688,3 +688,73 @@
         kinds = fleet.kinds_for(led, small, fleet.Refusals(), 0.0)
         builds = [led.builds[kind[0]] for kind in kinds]
         assert builds.index("big") == builds.count("small")
+
+
+def _kept(led: Ledger, one: Job, now: float) -> None:
+    led.keep(led.machines["m1"], "req-8", now + 5.0)
+
+
+def _failed_there(led: Ledger, one: Job, now: float) -> None:
+    one.error_machines.add("m1")
+
+
+def _scarce(led: Ledger, one: Job, now: float) -> None:
+    # Of a class that fits on nothing else; the machine has no room for it.
+    if "req-8" not in led.jobs:
+        job(led, now, uid="req-8", pieces=1, vcpus=32.0, builds=["big"])
+
+
+def _quota(led: Ledger, one: Job, now: float) -> None:
+    # A gang that its team's limit can't hold as long as the other runs.
+    if "req-8" not in led.jobs:
+        job(led, now - 130.0, uid="req-8", crew="red", shape="gang", pieces=3, vcpus=8.0,
+            at=870.0)
+
+
+@pytest.mark.parametrize(
+    ("hold", "crew"),
+    [(_kept, "blue"), (_failed_there, "blue"), (_scarce, "blue"), (_quota, "red")],
+    ids=["kept", "failed", "scarce", "quota"],
+)
+def test_no_hold_keeps_a_job_waiting_for_90_s_beside_room(hold, crew: str) -> None:
+    # The users: once the troubles are over, no job waits for 90 s while a machine that fits has
+    # room and its team is under its limit.
+    led = ready(objectives=[{"kind": "finished", "class": "b", "within_s": 1000.0, "share": 0.9}])
+    found = machine(led, "m1", build="big")
+    runs = job(led, uid="req-7", crew=crew, pieces=1, vcpus=4.0)
+    led.bind(runs, 0, found, 1, 0.0)
+    one = job(led, uid="req-1", crew=crew, pieces=1)
+    placed = None
+    for now in range(100):
+        found.heard = float(now)
+        hold(led, one, float(now))
+        place(led, float(now))
+        if one.bindings and placed is None:
+            placed = now
+    assert placed is not None and placement.HELD_MOST_S <= placed < 85
+
+
+def test_what_is_held_back_for_want_of_room_waits() -> None:
+    # The bound is for room that stands empty, not for a line in front of a full fleet.
+    led = ready()
+    found = machine(led, "m1")
+    runs = job(led, uid="req-7", pieces=1, vcpus=7.0)
+    led.bind(runs, 0, found, 1, 0.0)
+    one = job(led, uid="req-1", pieces=1)
+    for now in range(120):
+        found.heard = float(now)
+        led.keep(found, "req-8", now + 5.0)
+        place(led, float(now))
+    assert not one.bindings and one.held_since is None
+
+
+@pytest.mark.parametrize("times", [1, 4, 40])
+def test_no_suspicion_lasts_for_longer_than_a_lease(times: int) -> None:
+    led = ready()
+    found = machine(led, "m1")
+    found.deaf_since, found.deaf_times = 5.0, times
+    led.heard_us(found, 10.0)
+    assert found.trusted_at - 10.0 <= led.limits.workers.lease_s
+    for n in range(times):
+        led._errored(job(led, uid=f"req-{n + 100}"), found, 20.0)
+    assert found.error_until - 20.0 <= 30.0
