--- a/tests/test_meetings.py
+++ b/tests/test_meetings.py
@@ -459,6 +459,52 @@
         await asyncio.sleep(2.0)
 
 
+async def zone_loses_machines(world: World) -> None:
+    """Jobs bound to one zone, arrays too, lose machines again and again; the leader ends."""
+    for n in range(4):
+        await world.submit(spec(
+            f"req-{n + 40}", pieces=6, same_place=bool(n % 2), guess_s=12.0,
+            paddock=None if n % 2 else ("north", "south")[n // 2]))
+    await asyncio.sleep(12.0)
+    for back_s in (0.2, 3.0):
+        for worker in [w for w in world.cloud.hosts.values() if w.tasks][::2]:
+            world.cloud.hosts.pop(worker.name).end()
+        await asyncio.sleep(world.rng.uniform(0.5, 6.0))
+        await leader_ends(world, back_s)
+        await asyncio.sleep(8.0)
+
+
+async def more_than_room(world: World) -> None:
+    """More work than room, urgent and not, over slow links; the leader ends; some is called off."""
+    world.most = 4
+    world.late = lambda source, path: (
+        0.0 if path == "/changes" else world.rng.uniform(0.1, 0.8))
+    for n in range(12):
+        await world.submit(spec(
+            f"req-{n + 50}", pieces=8, vcpus=3.0, guess_s=6.0, crew=("blue", "red")[n % 2],
+            urgency=("urgent", "idle", "normal")[n % 3]))
+    await cancel_now(world, 2)
+    await leader_ends(world)
+    await asyncio.sleep(20.0)
+    world.late = lambda source, path: 0.0
+    world.most = 12
+
+
+async def far_apart(world: World) -> None:
+    """Jobs of two or three tasks end far apart, across changes of leader."""
+    inner = world.run_s
+
+    def run_s(piece: str) -> float:
+        return inner(piece) + 12.0 * int(piece.rpartition("/")[2])
+
+    world.run_s = run_s  # type: ignore[method-assign]
+    for n in range(6):
+        await world.submit(spec(f"req-{n + 60}", pieces=2 + n % 2, guess_s=5.0))
+    for back_s in (0.2, 4.0, 0.2):
+        await asyncio.sleep(world.rng.uniform(6.0, 10.0))
+        await leader_ends(world, back_s)
+
+
 JOBS = [
     spec("req-1", pieces=10, guess_s=14.0),
     spec("req-2", pieces=3, shape="gang", vcpus=7.0, guess_s=12.0, same_place=True),
@@ -475,7 +521,7 @@
     "trouble",
     [unreachable_at_the_end, refused_then_outage, mute, late_writes, answers_only_lost, hands_over,
      old_reports, up_at_once, cut_off_leader, slow_state, ten_changes, at_the_limit, held_up,
-     all_away],
+     all_away, zone_loses_machines, more_than_room, far_apart],
     ids=lambda trouble: trouble.__name__,
 )
 @pytest.mark.parametrize("seed", [1, 2])
