--- a/src/salthead/coordination/ledger.py
+++ b/src/salthead/coordination/ledger.py
@@ -56,7 +56,7 @@
 SICK_ERRORS = 2
 # A job that fails on this many machines and completes nowhere is taken to be at fault itself.
 JOB_AT_FAULT = 3
-ERROR_PAUSE_S = 5.0
+ERROR_PAUSE_S, ERROR_MOST_S = 5.0, 30.0
 # Answers with the same start of which none was executed, before a machine is taken for deaf.
 DEAF_ANSWERS = 3
 
@@ -309,6 +309,7 @@
     def bind(self, job: Job, index: int, machine: Machine, attempt: int, now: float) -> Binding:
         binding = Binding(job, index, attempt, machine, job.need, job.crew, since=now)
         machine.bindings[(job.uid, index)] = binding
+        machine.settled = False
         job.bindings[index] = binding
         self.ranks[job.rank] += 1
         self._book(machine, job.need, job.crew, 1.0)
@@ -319,6 +320,7 @@
         job, machine = binding.job, binding.machine
         assert job is not None
         machine.bindings.pop((job.uid, binding.index), None)
+        machine.settled = False
         job.bindings.pop(binding.index, None)
         self.ranks[job.rank] -= 1
         self._book(machine, binding.need, binding.crew, -1.0)
@@ -337,6 +339,7 @@
         job = binding.job
         assert job is not None and binding.untold()
         del binding.machine.bindings[(job.uid, binding.index)]
+        binding.machine.settled = False
         del job.bindings[binding.index]
         self.ranks[job.rank] -= 1
         self._book(binding.machine, binding.need, binding.crew, -1.0)
@@ -361,6 +364,7 @@
         if binding.stop is None or leeway_s < binding.stop:
             binding.stop = leeway_s
             binding.stop_sent = False
+            binding.machine.settled = False
             self.stops.append(binding)
 
     def next_attempt(self) -> int:
@@ -566,7 +570,14 @@
         machine.warn_at = warned
         if report.endpoint:
             machine.endpoint = report.endpoint
-        return self._pieces(machine, report, now, direct)
+        if machine.settled and not machine.freed and report.pieces == machine.shown:
+            return []  # nothing is new, and nothing is wanted
+        orders = self._pieces(machine, report, now, direct)
+        machine.shown = report.pieces
+        machine.settled = not orders and not machine.ghosts and all(
+            binding.phase and binding.stop is None for binding in machine.bindings.values()
+        ) and all(piece.phase != names.EXITED for piece in report.pieces)
+        return orders
 
     def _pieces(
         self, machine: Machine, report: Report, now: float, direct: bool,
@@ -660,7 +671,9 @@
         if machine.deaf_since is not None:
             log.info("machine %s hears again", machine.name)
             machine.deaf_since = None
-            machine.trusted_at = now + self.limits.workers.report_s * 2.0 ** machine.deaf_times
+            machine.trusted_at = now + min(  # bounded, or jobs that it fits would wait for minutes
+                self.limits.workers.report_s * 2.0 ** machine.deaf_times,
+                self.limits.workers.lease_s)
             machine.freed = True
 
     def _image_seen(self, binding: Binding) -> None:
@@ -752,7 +765,7 @@
         """Tell a sick machine from a job that fails everywhere."""
         job.error_machines.add(machine.name)
         machine.error_jobs.add(job.uid)
-        machine.error_until = now + ERROR_PAUSE_S * len(machine.error_jobs)
+        machine.error_until = now + min(ERROR_MOST_S, ERROR_PAUSE_S * len(machine.error_jobs))
         job.wait_until = max(job.wait_until, now + min(30.0, 1.0 * len(job.error_machines)))
         blamed = [
             uid for uid in machine.error_jobs
