--- a/tests/test_ledger.py
+++ b/tests/test_ledger.py
@@ -412,14 +412,65 @@
         assert led.machines["m1"].phase == UP and not led.ready
 
 
+class TestCalledOff:
+    def test_nothing_of_it_starts_any_more_and_what_runs_stops(self) -> None:
+        led = ready()
+        machine(led, "m1")
+        machine(led, "m2")
+        one = job(led, pieces=3)
+        place(led)
+        on = one.bindings[0].machine.name
+        led.on_report(report(on, 2, ("req-1/0", one.bindings[0].attempt, "running")), 1.0)
+        led.call_off(one)
+        assert one.waiting() == 0 and not one.over and led.phase_of(one)[0] == "running"
+        orders = led.on_report(report(on, 3, ("req-1/0", one.bindings[0].attempt, "running")), 2.0)
+        assert verbs(orders) == [("stop", "req-1/0")]
+        place(led)
+        for name in ("m1", "m2"):
+            assert all(v != "start" for v, _ in verbs(led.on_report(report(name, 4), 3.0)))
+
+    def test_a_task_that_an_earlier_leader_started_is_stopped_and_not_adopted(self) -> None:
+        led = ledger()
+        led.add_machine("m1", "small", "north", False, 0.0, rostered=True)
+        one = job(led, pieces=3)
+        led.call_off(one)
+        orders = led.on_report(report("m1", 2, ("req-1/1", 3, "running")), 1.0)
+        assert verbs(orders) == [("stop", "req-1/1")] and not one.bindings
+
+    def test_its_last_task_may_have_ended_all_the_same(self) -> None:
+        led = ready()
+        machine(led, "m1")
+        one = job(led, pieces=1)
+        place(led)
+        attempt = one.bindings[0].attempt
+        led.on_report(report("m1", 2, ("req-1/0", attempt, "running")), 1.0)
+        led.call_off(one)
+        led.on_report(report("m1", 3, ("req-1/0", attempt, "exited", "done")), 2.0)
+        assert one.complete
+
+
+def test_an_exit_that_is_shown_again_is_reaped_once_that_is_safe() -> None:
+    # A report that shows what the last one did is not looked at, unless something is to come of it.
+    led = ready()
+    machine(led, "m1")
+    one = job(led, pieces=2)
+    place(led)
+    first, other = one.bindings[0].attempt, one.bindings[1].attempt
+    rows = [("req-1/0", first, "exited", "done"), ("req-1/1", other, "running")]
+    for tally in (2, 3):
+        assert led.on_report(report("m1", tally, *rows), float(tally)) == []
+    led.saved(one, [0])
+    assert verbs(led.on_report(report("m1", 4, *rows), 4.0)) == [("reap", "req-1/0")]
+
+
 class TestKeptZones:
     @pytest.mark.parametrize(
         ("cancelled", "stray", "cancel_s", "allowed"),
-        [(False, False, 40.0, True), (True, False, 40.0, False), (False, True, 40.0, False),
-         (False, False, 23.0, False)],
+        [("", False, 40.0, True), ("durably", False, 40.0, False), ("asked", False, 40.0, False),
+         ("", True, 40.0, False), ("", False, 23.0, False)],
     )
     def test_a_zone_is_kept_only_while_nothing_there_has_to_end(
-        self, cancelled: bool, stray: bool, cancel_s: float, allowed: bool,
+        self, cancelled: str, stray: bool, cancel_s: float, allowed: bool,
     ) -> None:
         led = ready(workers={"report_s": 2.0, "lease_s": 12.0, "gang_wait_s": 40.0,
                              "gang_peer_s": 5.0, "cancel_s": cancel_s})
@@ -430,8 +481,10 @@
         if stray:
             shown.append(("req-9/0", 3, "running"))
         led.on_report(report("m1", 2, *shown, zone="south"), 1.0)
-        if cancelled:
+        if cancelled == "durably":
             led.end_job(one, "aborted", 1.0)
+        elif cancelled:
+            led.call_off(one)
         assert led.keep_zone("south", 30.0) == allowed
         assert not led.keep_zone("nowhere", 30.0)
 
--- a/tests/test_meetings.py
+++ b/tests/test_meetings.py
@@ -112,10 +112,12 @@
             for name in others(world, leader):
                 node = world.nodes[name]
                 assert node is not None
-                found = await node.read("req-1")  # as if the leader had not answered that node
-                assert found is not None
-                world.hear("req-1", found["phase"], world.now() - 0.01)
-            for uid in ("req-1", "req-2"):
+                for uid in ("req-1", "req-2"):  # as if the leader had not answered that node
+                    began = world.now()
+                    found = await node.read(uid)
+                    assert found is not None
+                    world.hear(uid, found["phase"], began)
+            for uid in ("req-2", "req-1"):  # what awaits it first: the leader has read neither
                 await world.ask(leader.settings.member, uid)
                 await world.ask(leader.settings.member, uid, "submit")
             await asyncio.sleep(0.05)
