--- a/tests/standins.py
+++ b/tests/standins.py
@@ -781,6 +781,24 @@
                 self.broken.append(f"left_waiting {uid}: room for {places} of its tasks")
                 self.room_since[uid] = self.now() + 1e9
 
+    def unserved(self, within_s: float = 240.0) -> list[str]:
+        """Classes, teams and largest jobs of a class of which less than half began in time."""
+        groups: dict[str, list[bool]] = {}
+        jobs = [one for uid, one in self.specs.items()
+                if uid in self.accepted and uid not in self.asked
+                and not self.asked & self.needed(uid)]
+        for one in jobs:
+            ready = max([self.accepted[one.uid], *(
+                self.final.get(before, ("", 1e9))[1] for before in one.awaits or [])])
+            served = self.begun.get(one.uid, 1e9) - ready <= within_s
+            sizes = sorted(other.pieces * other.vcpus for other in jobs if other.breed == one.breed)
+            names = [f"class {one.breed}", f"team {one.crew}"]
+            if one.pieces * one.vcpus >= sizes[len(sizes) * 3 // 4]:
+                names.append(f"largest of {one.breed}")
+            for name in names:
+                groups.setdefault(name, []).append(served)
+        return [name for name, found in groups.items() if 2 * sum(found) < len(found)]
+
     def on_machines(self) -> list[tuple[Worker, str]]:
         return [(w, piece) for w in self.cloud.hosts.values()
                 for (piece, _), t in w.tasks.items() if t["phase"] != "exited"]
--- a/tests/test_meetings.py
+++ b/tests/test_meetings.py
@@ -549,6 +549,7 @@
         await asyncio.sleep(30.0)
         assert not world.on_machines()
         assert len(world.final) == len(world.told) >= len(JOBS)
+        assert world.unserved() == []
         return world
 
     world = run(day)
@@ -584,6 +585,26 @@
     assert world.state.refused == []
 
 
+def test_the_checker_sees_who_is_not_served() -> None:
+    async def day() -> list[list[str]]:
+        world = World(seed=1)
+        for n, crew in enumerate(("blue", "blue", "red", "red")):
+            one = spec(f"req-{n}", crew=crew, pieces=n + 1, breed="bc"[n // 2])
+            world.specs[one.uid], world.accepted[one.uid] = one, 1000.0
+            world.begun[one.uid] = 1010.0
+        found = [world.unserved()]
+        world.begun["req-3"] = 1300.0
+        found.append(world.unserved())
+        del world.begun["req-2"]
+        found.append(world.unserved())
+        world.asked |= {"req-2", "req-3"}  # whoever was called off counts for nothing
+        found.append(world.unserved())
+        return found
+
+    assert run(day) == [
+        [], ["largest of c"], ["class c", "team red", "largest of c"], []]
+
+
 def test_a_job_written_late_is_not_taken_in_again_once_it_is_over() -> None:
     async def day() -> World:
         world = World(seed=1)
--- a/tests/test_scale.py
+++ b/tests/test_scale.py
@@ -10,6 +10,7 @@
 import random
 import subprocess
 import sys
+import tracemalloc
 from collections.abc import Callable
 from typing import Any
 
@@ -90,6 +91,33 @@
         assert not led.machines["m1"].settled
 
 
+@pytest.mark.parametrize(
+    ("what", "most"), [("machine", 4000), ("job", 3500), ("task", 600)])
+def test_what_is_held_for_each(what: str, most: int) -> None:
+    # 98 MB are a controller's on the smallest machines: bytes for each, as the interpreter counts.
+    def build(many: int) -> int:
+        led = ready()
+        led.caps = [(1e9, 1e9) for _ in led.caps]
+        tracemalloc.start()
+        before = tracemalloc.get_traced_memory()[0]
+        for n in range(many if what != "job" else 1):
+            machine(led, f"m{n}")
+        if what == "job":
+            for n in range(many):
+                job(led, uid=f"req-{n}", pieces=60)
+        elif what == "task":
+            placement.place(led, random.Random(1), 0.0)
+            before = tracemalloc.get_traced_memory()[0]
+            job(led, uid="req-1", pieces=many, vcpus=8.0)
+            placement.place(led, random.Random(1), 1.0)
+            assert len(led.jobs["req-1"].bindings) == many
+        used = tracemalloc.get_traced_memory()[0] - before
+        tracemalloc.stop()
+        return used
+
+    assert (build(1200) - build(200)) / 1000 < most
+
+
 def test_a_controller_imports_what_it_needs() -> None:
     # At a share of 8.6% of a core, a tenth of a second of imports is more than one second away.
     done = subprocess.run(
