--- a/tests/test_scale.py
+++ b/tests/test_scale.py
@@ -92,7 +92,7 @@
 
 
 @pytest.mark.parametrize(
-    ("what", "most"), [("machine", 4000), ("job", 3500), ("task", 600)])
+    ("what", "most"), [("machine", 1600), ("job", 3500), ("task", 600)])
 def test_what_is_held_for_each(what: str, most: int) -> None:
     # 98 MB are a controller's on the smallest machines: bytes for each, as the interpreter counts.
     def build(many: int) -> int:
