--- a/src/salthead/rental.py
+++ b/src/salthead/rental.py
@@ -26,9 +26,8 @@
 # A loop whose rounds take long pauses for this many times as long, so that reports have the
 # processor for most of the time whatever the size of the fleet and the queue.
 REST_FACTOR = 9.0
-# Plans come at once for a job that finds no machine, and otherwise now and then; no closer than
-# this part of the shortest boot, by which a hire that waits for the next plan is later.
-PLAN_GAP_S, PLAN_BOOTS = 1.0, 0.02
+# Plans come at once for a job that finds no machine, and otherwise now and then.
+PLAN_GAP_S, PLAN_LEAST_GAP_S = 1.0, 0.4
 
 
 class Rental:
@@ -125,8 +124,8 @@
                 for machine in plan.returns[100:]:
                     machine.returning = False
             self.term.views.show()
-            least_s = PLAN_BOOTS * fleet.least_boot_s(self.ledger)
-            await self.term.node.rest(max(0.1, least_s, REST_FACTOR * (self.now() - began)))
+            await self.term.node.rest(
+                max(PLAN_LEAST_GAP_S, REST_FACTOR * (self.now() - began)))
 
     async def hire(self, kind: fleet.Kind, count: int) -> None:
         build, zone, borrowed = kind
--- a/src/salthead/service.py
+++ b/src/salthead/service.py
@@ -535,7 +535,7 @@
         for uid in awaits:
             if uid == job.uid or not UID.match(uid):
                 raise Rejected(f"awaits: {uid[:60]!r} is no job that was accepted")
-        return await self.cut_short(awaits, self.now() + LOOK_UP_S)
+        return await self.cut_short(awaits, self.now() + LOOK_UP_S, every=True)
 
     async def whole(self, spec: Submission) -> Submission:
         """A job with all that it awaits, where its record is continued in further values."""
@@ -547,18 +547,27 @@
             awaits += records.awaits_from(row[0])
         return msgspec.structs.replace(spec, awaits=awaits or None)
 
-    async def cut_short(self, awaits: list[str], end: float = math.inf) -> bool:
+    async def cut_short(
+        self, awaits: list[str], end: float = math.inf, every: bool = False,
+    ) -> bool:
         """Whether one of these jobs, or any that they need, was cancelled.
 
+        ``every``: each of them has to have been accepted, also beside one that was cancelled.
+        Seen on troubles, prairie-ledger-next: the first was cancelled, and the next, which nobody
+        had submitted, was not looked up.
+
         The durable outcome of the cancelled one decides; it needs no leader to be told. A job
         whose own outcome is known needs no look at what is before it. Rejected: one of them was
         never accepted.
         """
         seen, line = set(awaits), deque(awaits)
+        named, cut = set(awaits), False
         active: dict[str, Row] | None = None
         reads = 0
         while line:
             uid = line.popleft()
+            if cut and uid not in named:
+                break  # those that are named come first
             if self.now() > end:
                 raise Later("still looking up the jobs that it awaits")
             found: str | None = None
@@ -577,12 +586,14 @@
                 row = active.get(records.job_key(uid)) if active is not None else None
                 found = await self.look_up(uid, row)
             if found == names.ABORTED:
-                return True
+                if not every:
+                    return True
+                cut = True
             for before in self.accepted.get(uid, ()) if found is None else ():
                 if before not in seen:
                     seen.add(before)
                     line.append(before)
-        return False
+        return cut
 
     async def look_up(self, uid: str, row: Row | None) -> str | None:
         """A job's outcome, or None when it is not over and what it awaits is known."""
--- a/tests/test_pipelines.py
+++ b/tests/test_pipelines.py
@@ -325,6 +325,9 @@
         ({"awaits": []}, 201),
         ({"awaits": None}, 201),
         ({"awaits": ["req-999"]}, 422),
+        ({"awaits": ["req-3"]}, 201),  # cancelled
+        ({"awaits": ["req-3", "req-999"]}, 422),  # seen on troubles, prairie-ledger-next
+        ({"awaits": ["req-2", "req-3", "req-1", "req-999"]}, 422),
         ({"awaits": ["nonsense"]}, 422),
         ({"awaits": ["req-77"]}, 422),  # itself
         ({"awaits": "req-1"}, 400),
@@ -338,6 +341,8 @@
         world = World()
         await world.submit(spec("req-1"))
         await world.submit(spec("req-2"))
+        await world.submit(spec("req-3"))
+        assert await world.cancel("req-3") == "aborted"
         if "awaits" in change and type(change["awaits"]) is list:
             for uid in change["awaits"]:
                 world.specs.setdefault(str(uid), spec(str(uid)))
