--- /dev/null
+++ b/tools/profile_costs.py
@@ -0,0 +1,356 @@
+"""What each thing that a controller does costs, and how much of a second that takes.
+
+    python3 tools/profile_costs.py [--machines 570] [--report-s 3] [--seconds]
+
+A leader with a full fleet and a follower run in this process on loopback; requests come from
+another thread, which is not counted. Each line has the calls of Python functions that one thing
+takes and how often it happens in a second. Calls are counted, not timed, so that the table is the
+same each time; ``--seconds`` adds the processor time of this machine, which is not, and a start's.
+"""
+
+from __future__ import annotations
+
+import argparse
+import asyncio
+import http.client
+import logging
+import os
+import random
+import resource
+import socket
+import subprocess
+import sys
+import threading
+import time
+from collections.abc import Callable
+from dataclasses import dataclass
+from pathlib import Path
+from typing import Any
+
+ROOT = Path(__file__).resolve().parent.parent
+sys.path[:0] = [str(ROOT / "target" / "deps"), str(ROOT / "src"), str(ROOT / "tests")]
+
+from helpers import FLAVORS, given, machine, report, settings, spec  # noqa: E402
+from salthead.coordination import fleet, placement  # noqa: E402
+from salthead.coordination.lease import LeaseClock  # noqa: E402
+from salthead.coordination.ledger import Ledger  # noqa: E402
+from salthead.protocol import names  # noqa: E402
+from salthead.protocol.messages import Report, encode  # noqa: E402
+from salthead.service import Node  # noqa: E402
+from salthead.term import Term  # noqa: E402
+from salthead.transport.server import client_app, cluster_app, listen  # noqa: E402
+
+TOKEN = 7
+LEASE_S = 1e9  # of the profiled term, which no state service renews
+REQUESTS = 200  # of each kind, over which the cost of one is averaged
+JOBS_IN_LINE = 40
+BURST_JOBS, BURST_TASKS = 100, 60
+# How often things happen that do not follow from the number of machines.
+POLLS_PER_S, SUBMISSIONS_PER_S, PROBES_PER_S = 8.0, 1.0, 3.0
+CALLS_PER_S, LOG_LINES_PER_S = 4.0, 10.0
+PASSES_PER_S, LOOKS_PER_S, PLANS_PER_S, ACCOUNTS_PER_S = 4.0, 2.0, 1.0, 0.5
+ENDED_PART = 0.1  # of the reports, that show the end of a task
+
+HttpRequest = tuple[str, str, bytes | None]
+
+
+class Meter:
+    """Counts the calls of Python functions, and the processor time, of this thread."""
+
+    def __init__(self, with_calls: bool) -> None:
+        self.with_calls = with_calls
+        self.calls = 0
+        self.seconds = 0.0
+
+    def _note(self, frame: Any, event: str, argument: Any) -> None:
+        self.calls += event == "call"
+
+    def __enter__(self) -> Meter:
+        self.began = time.thread_time()
+        if self.with_calls:
+            sys.setprofile(self._note)
+        return self
+
+    def __exit__(self, *_: object) -> None:
+        sys.setprofile(None)
+        self.seconds = time.thread_time() - self.began
+
+
+@dataclass(frozen=True)
+class Cost:
+    """What one thing takes: calls, and seconds where they were asked for."""
+
+    calls: float
+    seconds: float
+
+
+class Rows:
+    """Just enough of the state service's client: whatever is written is taken at once."""
+
+    answered = float("inf")
+
+    async def get(self, key: str, **_: Any) -> None:
+        return None
+
+    async def txn(self, *_: Any, **__: Any) -> int:
+        return 1
+
+
+class Client(threading.Thread):
+    """Sends requests over one connection, one after the other."""
+
+    def __init__(
+        self, endpoint: str, requests: list[HttpRequest], done: Callable[[], None]
+    ) -> None:
+        super().__init__(daemon=True)
+        self.endpoint, self.requests, self.done = endpoint, requests, done
+        self.statuses: set[int] = set()
+
+    def run(self) -> None:
+        connection = http.client.HTTPConnection(self.endpoint)
+        for method, path, body in self.requests:
+            connection.request(method, path, body)
+            answer = connection.getresponse()
+            answer.read()
+            self.statuses.add(answer.status)
+        self.done()
+
+
+def free_endpoint() -> str:
+    with socket.socket() as probe:
+        probe.bind(("127.0.0.1", 0))
+        return f"127.0.0.1:{probe.getsockname()[1]}"
+
+
+def fill(ledger: Ledger, machines: int, now: float) -> None:
+    """Book a fleet out, with a line of jobs that wait; each machine has shown what it runs."""
+    ledger.set_flavors(FLAVORS)
+    ledger.loaded = ledger.ready = True
+    ledger.caps = [(1e9, 1e9) for _ in ledger.caps]
+    for n in range(machines):
+        machine(ledger, f"m{n}", now, zone=("north", "south")[n % 2])
+    for n in range(JOBS_IN_LINE):
+        ledger.add_job(spec(uid=f"req-{n}", pieces=machines, vcpus=2.0, guess_s=50.0), now)
+    placement.place(ledger, random.Random(1), now)
+    for name in ledger.machines:
+        ledger.on_report(shown(ledger, name, 2), now)
+
+
+def shown(
+    ledger: Ledger,
+    name: str,
+    tally: int,
+    ended: int = 0,
+    baton: int = TOKEN,
+    tenure: int = 1,
+) -> Report:
+    """A report of a machine with what is bound to it, of which some has ended."""
+    pieces: list[tuple[Any, ...]] = [
+        (b.piece, b.attempt, "running") for b in ledger.machines[name].bindings.values()
+    ]
+    pieces[:ended] = [(*piece[:2], "exited", "done") for piece in pieces[:ended]]
+    zone = ledger.zones[ledger.machines[name].zone]
+    return report(name, tally, *pieces, baton=baton, tenure=tenure, zone=zone)
+
+
+class Bench:
+    """A leader and a follower on loopback, and the meter over what they do."""
+
+    def __init__(self, machines: int, seconds: bool) -> None:
+        self.machines, self.with_seconds = machines, seconds
+        self.endpoints = [free_endpoint() for _ in range(4)]
+        self.leader = self._node("n0", "n1", self.endpoints[3])
+        self.follower = self._node("n1", "n0", self.endpoints[1])
+        self.follower.leader = "n0"
+        self.term = Term(self.leader, TOKEN, 1, 1, LeaseClock(LEASE_S))
+        self.term.clock.renewed(self.leader.now())
+        self.ledger = self.term.ledger
+        fill(self.ledger, machines, self.leader.now())
+        self.leader.term, self.leader.leader = self.term, "n0"
+        for node, first in ((self.leader, 0), (self.follower, 2)):
+            listen(node, client_app(node), self.endpoints[first])
+            listen(node, cluster_app(node), self.endpoints[first + 1])
+
+    @staticmethod
+    def _node(member: str, other: str, other_endpoint: str) -> Node:
+        own = settings(member, (other,))
+        own.seeds[0].endpoint = other_endpoint
+        node = Node(own, random.Random(1))
+        node.store = Rows()  # type: ignore[assignment]
+        node.flavors = {flavor.name: flavor for flavor in FLAVORS}
+        return node
+
+    def of_work(self, work: Callable[[], Any], times: int = 1) -> Cost:
+        """The cost of a function call, or of each of the things that it does."""
+        with Meter(with_calls=not self.with_seconds) as meter:
+            work()
+        return Cost(meter.calls / times, meter.seconds / times)
+
+    async def of_requests(self, endpoint: str, requests: list[HttpRequest], status: int) -> Cost:
+        """The cost of a request, on the side of the nodes."""
+        over = asyncio.Event()
+        loop = asyncio.get_running_loop()
+        client = Client(endpoint, requests, lambda: loop.call_soon_threadsafe(over.set) and None)
+        with Meter(with_calls=not self.with_seconds) as meter:
+            client.start()
+            await over.wait()
+        assert client.statuses == {status}, client.statuses
+        return Cost(meter.calls / len(requests), meter.seconds / len(requests))
+
+    async def of_reports(self, tally: int, ended: int) -> Cost:
+        requests = [
+            ("POST", names.HELLO, encode(shown(self.ledger, f"m{n}", tally, ended)))
+            for n in range(REQUESTS)
+        ]
+        return await self.of_requests(self.endpoints[0], requests, 200)
+
+    async def of_polls(self, endpoint: str) -> Cost:
+        requests: list[HttpRequest] = [
+            ("GET", f"{names.WORK}/req-{n % JOBS_IN_LINE}", None) for n in range(REQUESTS)
+        ]
+        return await self.of_requests(endpoint, requests, 200)
+
+    async def of_submissions(self) -> Cost:
+        requests: list[HttpRequest] = [
+            ("POST", names.WORK, encode(given(spec(uid=f"req-{9000 + n}"))))
+            for n in range(REQUESTS)
+        ]
+        return await self.of_requests(self.endpoints[0], requests, 201)
+
+    async def of_peer_calls(self) -> Cost:
+        peer = self.leader.peers["n1"]
+        await peer.call("POST", names.PEER_KNOCKS)
+        with Meter(with_calls=not self.with_seconds) as meter:
+            for _ in range(REQUESTS):
+                await peer.call("POST", names.PEER_KNOCKS)
+        return Cost(meter.calls / REQUESTS, meter.seconds / REQUESTS)
+
+    def of_burst(self) -> Cost:
+        now = self.leader.now()
+
+        def come() -> None:
+            for n in range(BURST_JOBS):
+                self.ledger.add_job(spec(uid=f"req-{5000 + n}", pieces=BURST_TASKS), now, True)
+            self.term.decide(now)
+
+        return self.of_work(come, BURST_JOBS)
+
+    def of_return(self) -> Cost:
+        """Half of the fleet is behind a cut for longer than its leases, and comes back."""
+        later = self.leader.now() + 10.0 * self.leader.limits.workers.lease_s
+        half = [f"m{n}" for n in range(0, self.machines, 2)]
+        for name in set(self.ledger.machines) - set(half):
+            self.ledger.on_report(shown(self.ledger, name, 50), later)
+
+        def come_back() -> None:
+            self.ledger.tick(later)
+            for name in half:
+                self.ledger.on_report(shown(self.ledger, name, 1, tenure=2), later)
+
+        return self.of_work(come_back, len(half))
+
+    def of_takeover(self) -> Cost:
+        """The next leader hears every machine with its tasks, and has read every job."""
+        now = self.leader.now()
+        new = Ledger(self.leader.limits, TOKEN + 1, now)
+        new.set_flavors(FLAVORS)
+        reports = [shown(self.ledger, name, 60, baton=TOKEN + 1) for name in self.ledger.machines]
+        specs = [job.spec for job in self.ledger.jobs.values()]
+
+        def take_over() -> None:
+            for found in specs:
+                new.add_job(found, now)
+            for one in reports:
+                new.add_machine(one.saltlick, one.build, one.paddock, False, now, rostered=True)
+            new.loaded = True
+            for one in reports:
+                new.on_report(one, now, direct=True)
+            new.tick(now)
+
+        return self.of_work(take_over, len(reports))
+
+
+def start_seconds() -> float:
+    """Processor time of one start, imports only, as the platform starts it: the least of five."""
+    found = []
+    for _ in range(5):
+        before = resource.getrusage(resource.RUSAGE_CHILDREN)
+        subprocess.run(
+            [sys.executable, "-S", "run.py", "--config", os.devnull],
+            cwd=ROOT,
+            capture_output=True,
+            env={"PYTHONDONTWRITEBYTECODE": "1"},
+        )
+        after = resource.getrusage(resource.RUSAGE_CHILDREN)
+        found.append(after.ru_utime + after.ru_stime - before.ru_utime - before.ru_stime)
+    return min(found)
+
+
+async def measure(machines: int, report_s: float, seconds: bool) -> list[tuple[str, Cost, float]]:
+    bench = Bench(machines, seconds)
+    reports = machines / report_s
+    log = logging.getLogger("salthead.profile")
+    now = bench.leader.now
+    return [
+        ("report, nothing new", await bench.of_reports(3, 0), reports * (1.0 - ENDED_PART)),
+        ("report, nothing new, again", await bench.of_reports(4, 0), 0.0),
+        ("report with a task's end", await bench.of_reports(5, 1), reports * ENDED_PART),
+        ("poll at the leader", await bench.of_polls(bench.endpoints[0]), POLLS_PER_S),
+        ("poll at a follower (both nodes)", await bench.of_polls(bench.endpoints[2]), POLLS_PER_S),
+        ("submission", await bench.of_submissions(), SUBMISSIONS_PER_S),
+        (
+            "health check",
+            await bench.of_requests(bench.endpoints[0], [("GET", names.UP, None)] * REQUESTS, 200),
+            PROBES_PER_S,
+        ),
+        ("call to a peer (both nodes)", await bench.of_peer_calls(), CALLS_PER_S),
+        ("pass of placement", bench.of_work(lambda: bench.term.decide(now())), PASSES_PER_S),
+        ("look at each machine", bench.of_work(lambda: bench.term.look(now())), LOOKS_PER_S),
+        (
+            "plan of the fleet",
+            bench.of_work(lambda: fleet.plan(bench.ledger, now(), fleet.Refusals(), {})),
+            PLANS_PER_S,
+        ),
+        (
+            "account of the rent",
+            bench.of_work(lambda: bench.term.views.account(now())),
+            ACCOUNTS_PER_S,
+        ),
+        (
+            "log line",
+            bench.of_work(
+                lambda: [log.info("machine %s up", n) for n in range(REQUESTS)], REQUESTS
+            ),
+            LOG_LINES_PER_S,
+        ),
+        ("job of a burst, placed", bench.of_burst(), 0.0),
+        ("machine at a takeover", bench.of_takeover(), 0.0),
+        ("machine that returns from a cut", bench.of_return(), 0.0),
+    ]
+
+
+def main() -> None:
+    parser = argparse.ArgumentParser(description=__doc__.partition("\n")[0])
+    parser.add_argument("--machines", type=int, default=570)
+    parser.add_argument("--report-s", type=float, default=3.0)
+    parser.add_argument(
+        "--seconds",
+        action="store_true",
+        help="processor time instead of calls; differs from run to run",
+    )
+    words = parser.parse_args()
+    with open(os.devnull, "w") as nowhere:
+        logging.basicConfig(stream=nowhere, level=logging.INFO)
+        table = asyncio.run(measure(words.machines, words.report_s, words.seconds))
+    unit = "microseconds" if words.seconds else "calls"
+    print(f"{words.machines} machines, a report every {words.report_s:g} s")
+    print(f"{'what':34} {unit:>12} {'a second':>9} {unit + ' a second':>22}")
+    for what, cost, rate in table:
+        one = cost.seconds * 1e6 if words.seconds else cost.calls
+        print(f"{what:34} {one:12.1f} {rate:9.1f} {one * rate:22.0f}")
+    if words.seconds:
+        print(f"a start (imports, to the settings): {start_seconds():.3f} s")
+
+
+if __name__ == "__main__":
+    main()
