--- a/src/salthead/coordination/fleet.py
+++ b/src/salthead/coordination/fleet.py
@@ -66,13 +66,15 @@
         """Take as many tasks as fit, up to ``most``; how many that were."""
         room = self.room
         count = most
-        for n in range(3):
+        for n in (0, 1, 2):  # the innermost loop of a plan
             if need[n] > 0:
-                count = min(count, int((room[n] + 1e-6) // need[n]))
+                places = int((room[n] + 1e-6) // need[n])
+                if places < count:
+                    count = places
         if count <= 0:
             return 0
         self.taken = True
-        for n in range(3):
+        for n in (0, 1, 2):
             room[n] -= count * need[n]
         return count
 
@@ -239,7 +241,7 @@
     result = Plan()
     if not ledger.flavors:
         return result
-    slots = supply(ledger, now, coming)
+    slots: list[Slot] = []
     new: list[Slot] = []
     if ledger.ready:
         left: dict[int, list[float]] = {
@@ -250,6 +252,8 @@
         line = placement.queue(ledger, within, now)
         span = horizon(ledger, line, now)
         soon = soon_ready(ledger, now)
+        if line or soon:  # with nothing to place, free room need not be known
+            slots = supply(ledger, now, coming)
         pool = Pool(slots, min((job.need[0] for job in [*line, *soon]), default=0.0))
         for job in line:
             _provide(ledger, job, job.waiting(), pool, new, left[job.crew], span, refusals, now)
@@ -458,11 +462,17 @@
             count = pool.fill(kind, job.need, count)
     if not hirable:
         return
-    while count:
-        slot = Slot(hirable[0], list(ledger.capacity(hirable[0][0])))
+    kind = hirable[0]
+    capacity = ledger.capacity(kind[0])
+    planned = sum([slot.kind == kind for slot in new])
+    # No more are hired at a time: a line of thousands of tasks must not make thousands of slots
+    # in each plan, when the leader has the least time for it.
+    while count and planned < HIRE_MOST:
+        slot = Slot(kind, list(capacity))
         count -= slot.fill(job.need, count)
         new.append(slot)
         pool.add(slot)
+        planned += 1
 
 
 def _best_zone(
