--- a/src/salthead/term.py
+++ b/src/salthead/term.py
@@ -39,7 +39,9 @@
 
 log = logging.getLogger("salthead.term")
 
-DECIDE_GAP_S, IDLE_GAP_S = 0.1, 0.25
+# Between passes over the queue, when something has changed and when nothing has. Room that frees is
+# filled with the report that shows it, so that a pass is for jobs that come and pauses that end.
+DECIDE_GAP_S, IDLE_GAP_S = 0.25, 0.5
 # A look at each machine, for what no report brings: a fifth of the processor time of a leader of
 # 570 machines went into doing that with each pass.
 LOOK_GAP_S = 0.5
