--- a/src/salthead/coordination/ledger.py
+++ b/src/salthead/coordination/ledger.py
@@ -14,7 +14,7 @@
 from collections.abc import Callable, Iterable
 from typing import Any
 
-from salthead.coordination import waiting
+from salthead.coordination import reports, strays, waiting
 from salthead.coordination.estimates import Arrivals, Estimates, Promptness
 from salthead.coordination.lease import blind_s, surely_over
 from salthead.coordination.model import (
@@ -35,14 +35,8 @@
 from salthead.protocol.interning import Interner
 from salthead.protocol.messages import (
     MachineType,
-    Malformed,
     Report,
     Submission,
-    TaskReport,
-    reap_order,
-    split_task_id,
-    start_order,
-    stop_order,
 )
 from salthead.settings import Limits
 
@@ -50,15 +44,9 @@
 
 # An attempt is the term's token and a counter, so no two starts of any terms share one.
 ATTEMPT_BITS = 24
-# Keeps an answer to a worker well under 64 KiB; the rest follows in the next answer.
-MAX_ORDERS = 400
-# Errors of different jobs in a row, with nothing completed between, that condemn a machine.
-SICK_ERRORS = 2
-# A job that fails on this many machines and completes nowhere is taken to be at fault itself.
-JOB_AT_FAULT = 3
-ERROR_PAUSE_S, ERROR_MOST_S = 5.0, 30.0
-# Answers with the same start of which none was executed, before a machine is unresponsive.
-UNHEARD_ANSWERS = 3
+# Ended jobs whose team is remembered, for stray tasks of theirs, and returned machines, for late
+# copies of their reports.
+TEAMS_KEPT, GONE_KEPT = 5000, 2000
 
 
 class Ledger:
@@ -253,14 +241,14 @@
     def _forget(self, job: Job) -> None:
         if job.over and not job.bindings and self.jobs.get(job.job_id) is job:
             self.team_of[job.job_id] = (job.team, job.need)
-            if len(self.team_of) > 5000:
+            if len(self.team_of) > TEAMS_KEPT:
                 self.team_of.pop(next(iter(self.team_of)))
             del self.jobs[job.job_id]
             self.live.pop(job.job_id, None)
 
     # -- bookings -----------------------------------------------------------------------
 
-    def _book(self, machine: Machine, need: Vec, team: int, sign: float) -> None:
+    def book(self, machine: Machine, need: Vec, team: int, sign: float) -> None:
         used = machine.used
         if sign < 0:
             machine.freed = True
@@ -327,7 +315,7 @@
         machine.unchanged = False
         job.bindings[index] = binding
         self.ranks[job.rank] += 1
-        self._book(machine, job.need, job.team, 1.0)
+        self.book(machine, job.need, job.team, 1.0)
         return binding
 
     def release(self, binding: Binding, now: float, why: str) -> None:
@@ -338,7 +326,7 @@
         machine.unchanged = False
         job.bindings.pop(binding.index, None)
         self.ranks[job.rank] -= 1
-        self._book(machine, binding.need, binding.team, -1.0)
+        self.book(machine, binding.need, binding.team, -1.0)
         if job.gang:
             if not job.complete and not job.failed:
                 self.fail_gang(job, now, why)
@@ -357,7 +345,7 @@
         binding.machine.unchanged = False
         del job.bindings[binding.index]
         self.ranks[job.rank] -= 1
-        self._book(binding.machine, binding.need, binding.team, -1.0)
+        self.book(binding.machine, binding.need, binding.team, -1.0)
         self.bind(job, binding.index, machine, binding.attempt, now)
 
     def fail_gang(self, job: Job, now: float, why: str) -> None:
@@ -420,20 +408,20 @@
         machine.rostered = machine.rostered or rostered
         return machine
 
-    def _lose_tasks(self, machine: Machine, now: float, why: str) -> None:
+    def lose_tasks(self, machine: Machine, now: float, why: str) -> None:
         for binding in list(machine.bindings.values()):
             self.release(binding, now, why)
         for key in list(machine.strays):
-            self._drop_stray(machine, key, now)
+            strays.drop(self, machine, key)
 
     def machine_gone(self, machine: Machine, now: float) -> None:
         """The cloud confirmed the return: the machine and all on it are gone."""
-        self._lose_tasks(machine, now, f"{machine.name} returned")
+        self.lose_tasks(machine, now, f"{machine.name} returned")
         self.set_phase(machine, GONE)
         self.kept.pop(machine, None)
         self.machines.pop(machine.name, None)
         self.recently_gone[machine.name] = now
-        if len(self.recently_gone) > 2000:
+        if len(self.recently_gone) > GONE_KEPT:
             self.recently_gone.pop(next(iter(self.recently_gone)))
         self.on_change()
 
@@ -458,7 +446,7 @@
                     math.inf
                 )  # it holds nothing any more, and may join if it heals
                 machine.joined = False
-                self._lose_tasks(machine, now, f"{machine.name} lost")
+                self.lose_tasks(machine, now, f"{machine.name} lost")
         if self.loaded and not self.ready:
             self._silent = None
             if not self.unheard():
@@ -536,328 +524,8 @@
         now: float,
         direct: bool = False,
     ) -> list[dict[str, Any]] | None:
-        """Orders for the worker, or None when the report must not be answered with 200.
-
-        A ``direct`` report is the answer to a call of ours. It renews no lease and carries no
-        orders back, and it may have been made while an answer with starts was under way, so
-        what it does not show may still begin.
-        """
-        if report.fencing_token > self.token:
-            self.deposed_by = max(self.deposed_by, report.fencing_token)
-            return None
-        if report.worker in self.recently_gone:
-            return None
-        if not self.loaded and now - self.took_over > self.blind_s:
-            # Which jobs were cancelled is not known here. In an outage of the state service this
-            # may go on for longer than their tasks may be kept alive by answers.
-            return None
-        machine = self.machines.get(report.worker)
-        # Made after an answer of this term was accepted: a report of an earlier term, or of
-        # before the worker's first answer, may be a copy that comes late.
-        current = report.fencing_token == self.token
-        if machine is None:
-            if not current or not self.loaded:
-                # The worker is told the token and reports again under it. Nothing is noted: a
-                # machine that an earlier leader returned looks just like this in a late copy, and
-                # one that is not in the roster was never started anything.
-                return []
-            machine = self.add_machine(
-                report.worker, report.machine_type, report.zone, report.spot, now
-            )
-            log.info("machine %s reports unexpectedly", machine.name)
-        if report.session < machine.min_session:
-            return None
-        lease_s = self.limits.workers.lease_s
-        if not direct and not machine.joined and not current:
-            # One that still does not know the token after a whole lease gets no answers. Its
-            # lease has to be counted from some last answer, or it would hold up a takeover.
-            machine.first_answered_at = min(machine.first_answered_at, now)
-            if now - machine.first_answered_at > lease_s:
-                return None
-        if not direct:
-            machine.answered = now
-        newer = (report.session, report.sequence) > (machine.session, machine.sequence)
-        if not newer or not self.loaded:
-            # Not loaded: keep the worker alive, look at its tasks next time.
-            return []
-        if not current:
-            # Its tasks may be those of long ago: an exit reaped since, a task that is elsewhere
-            # now. A machine that comes up may enter the roster meanwhile.
-            machine.seen = True
-            machine.endpoint = machine.endpoint or report.endpoint
-            return []
-        if report.session > machine.session and machine.session > 0:
-            log.info("machine %s: session %d", machine.name, report.session)
-            if machine.joined and now - machine.heard < 0.5 * lease_s:
-                self._mark_unresponsive(
-                    machine, now, "its lease ended though its reports were answered"
-                )
-            self._lose_tasks(machine, now, f"{machine.name} lost its lease")
-        if machine.phase in (BOOTING, LOST):
-            log.info("machine %s up, %.1f s after its hire", machine.name, now - machine.hired_at)
-            self.set_phase(machine, UP)
-            machine.freed = True
-            self.on_change()
-        machine.session, machine.sequence = report.session, report.sequence
-        machine.heard = now
-        if not machine.joined:
-            machine.joined = True
-            machine.freed = True
-            self.on_change()
-        warned = None if report.warning_s is None else now + report.warning_s
-        if warned is not None and machine.warn_at is None:
-            log.info("machine %s will be taken in %.1f s", machine.name, report.warning_s)
-        machine.warn_at = warned
-        if report.endpoint:
-            machine.endpoint = report.endpoint
-        if machine.unchanged and not machine.freed and report.tasks == machine.shown:
-            return []  # nothing is new, and nothing is wanted
-        orders = self._tasks_shown(machine, report, now, direct)
-        machine.shown = report.tasks
-        machine.unchanged = (
-            not orders
-            and not machine.strays
-            and all(binding.phase and binding.stop is None for binding in machine.bindings.values())
-            and all(task.phase != names.EXITED for task in report.tasks)
-        )
-        return orders
-
-    def _tasks_shown(
-        self,
-        machine: Machine,
-        report: Report,
-        now: float,
-        direct: bool,
-    ) -> list[dict[str, Any]]:
-        orders: list[dict[str, Any]] = []
-        seen: set[tuple[str, int]] = set()
-        seen_strays: set[tuple[str, int, int]] = set()
-        for task in report.tasks:
-            try:
-                job_id, index = split_task_id(task.task_id)
-            except Malformed:
-                continue
-            key = (job_id, index)
-            binding = machine.bindings.get(key)
-            if binding is not None and binding.attempt != task.attempt:
-                binding = None
-            if task.phase == names.EXITED:
-                if binding is not None:
-                    self._exited(binding, task, now)
-                else:
-                    self._late_exit(job_id, index, task, now)
-                if self._may_reap(job_id, index, task):
-                    orders.append(reap_order(task.task_id, task.attempt))
-                continue
-            if binding is None:
-                binding = self._adopt(machine, job_id, index, task, now)
-            if binding is None:
-                stray_key = (job_id, index, task.attempt)
-                seen_strays.add(stray_key)
-                self._add_stray(machine, stray_key, now)
-                orders.append(stop_order(task.task_id, task.attempt, 0.0))
-                continue
-            seen.add(key)
-            if binding.phase != task.phase:
-                if task.phase == names.RUNNING and binding.job is not None:
-                    binding.started = now
-                    if binding.job.first_start is None:
-                        binding.job.first_start = now
-                binding.phase = task.phase
-                self._image_seen(binding)
-            if binding.stop is not None and (task.phase != names.FLUSHING or binding.stop == 0.0):
-                orders.append(stop_order(task.task_id, task.attempt, binding.stop))
-                binding.stop_sent = True
-        for key, binding in list(machine.bindings.items()):
-            if key in seen or machine.bindings.get(key) is not binding:
-                continue
-            if binding.phase:
-                self.release(binding, now, f"not on {machine.name} any more")
-            elif direct:
-                continue
-            elif binding.stop is not None or binding.start_sends >= UNHEARD_ANSWERS:
-                # One report is in flight at a time and late answers are dropped, so a report
-                # without the task, newer than the answers that ordered it, is proof.
-                if binding.stop is None:
-                    self._mark_unresponsive(
-                        machine, now, f"{binding.start_sends} starts of {binding.task_id} unheard"
-                    )
-                self.release(binding, now, "never started")
-        for stray_key in list(machine.strays):
-            if stray_key not in seen_strays:
-                self._drop_stray(machine, stray_key, now)
-        # Room that this report freed is filled by this answer, not a report period later.
-        if machine.freed:
-            machine.freed = False
-            self.on_room(machine, now)
-        if not direct:
-            orders += self._starts(machine, MAX_ORDERS - len(orders))
-        return orders[:MAX_ORDERS]
-
-    def _starts(self, machine: Machine, most: int) -> list[dict[str, Any]]:
-        """Starts for what is bound to the machine and not seen on it yet."""
-        orders: list[dict[str, Any]] = []
-        if not (machine.rostered and machine.joined):
-            return orders
-        for binding in machine.bindings.values():
-            if not binding.phase and binding.stop is None and len(orders) < most:
-                binding.start_sends += 1
-                orders.append(start_order(binding.task_id, binding.attempt))
-        return orders
-
-    def _mark_unresponsive(self, machine: Machine, now: float, why: str) -> None:
-        """Its reports arrive, but answers do not reach it: it gets no work until one does."""
-        if machine.unresponsive_since is None:
-            log.info("machine %s is unresponsive: %s", machine.name, why)
-            machine.unresponsive_since = now
-            machine.unresponsive_times += 1
-            self.on_change()
-
-    def mark_responsive(self, machine: Machine, now: float) -> None:
-        """An unresponsive machine answered a call: it is tried again after a growing pause."""
-        if machine.unresponsive_since is not None:
-            log.info("machine %s responds again", machine.name)
-            machine.unresponsive_since = None
-            machine.trusted_again_at = (
-                now
-                + min(  # bounded, or jobs that it fits would wait for minutes
-                    self.limits.workers.report_s * 2.0**machine.unresponsive_times,
-                    self.limits.workers.lease_s,
-                )
-            )
-            machine.freed = True
-
-    def _image_seen(self, binding: Binding) -> None:
-        spec = binding.job.spec if binding.job else None
-        if spec is not None and spec.image and binding.phase in (names.RUNNING, names.GATHERING):
-            machine_type = self.machine_types.get(binding.machine.machine_type)
-            binding.machine.has_image(
-                spec.image, spec.image_gb, machine_type.local_gb if machine_type else 0.0
-            )
-
-    def _adopt(
-        self, machine: Machine, job_id: str, index: int, task: TaskReport, now: float
-    ) -> Binding | None:
-        """A task found on a machine that no binding explains: an earlier term started it."""
-        job = self.jobs.get(job_id)
-        if (
-            job is None
-            or job.over
-            or job.dependency_cancelled
-            or job.cancel_requested
-            or (not 0 <= index < job.spec.task_count)
-        ):
-            return None
-        if job.done[index] or index in job.bindings:
-            return None
-        if job.gang:
-            if job.failed or (job.bindings and job.attempt != task.attempt):
-                return None
-            job.attempt = task.attempt
-        binding = self.bind(job, index, machine, task.attempt, now)
-        log.info("adopted %s attempt %d on %s", task.task_id, task.attempt, machine.name)
-        return binding
-
-    def _add_stray(self, machine: Machine, key: tuple[str, int, int], now: float) -> None:
-        if key in machine.strays:
-            return
-        job_id, index, attempt = key
-        job = self.jobs.get(job_id)
-        if job is not None:
-            team, need = job.team, job.need
-        elif job_id in self.team_of:
-            team, need = self.team_of[job_id]
-        else:
-            team, need = -1, NOTHING
-            self.unknown_jobs.add(job_id)
-        log.info("stray task %s/%d attempt %d on %s", job_id, index, attempt, machine.name)
-        self.stray_jobs[job_id] = self.stray_jobs.get(job_id, 0) + 1
-        machine.strays[key] = Binding(job, index, attempt, machine, need, team, stray=True)
-        self._book(machine, need, team, 1.0)
-
-    def _drop_stray(self, machine: Machine, key: tuple[str, int, int], now: float) -> None:
-        stray = machine.strays.pop(key)
-        self._book(machine, stray.need, stray.team, -1.0)
-        left = self.stray_jobs.pop(key[0], 1) - 1
-        if left > 0:
-            self.stray_jobs[key[0]] = left
-        else:
-            self.unknown_jobs.discard(key[0])
-        self.on_change()
-
-    def identify_job(self, spec: Submission) -> None:
-        """The record of an ended job whose tasks are still on machines: count them in."""
-        team = self.team_names.get(spec.team)
-        need: Vec = (spec.vcpus, spec.accelerators, spec.ram_gb)
-        self.team_of[spec.job_id] = (-1 if team is None else team, need)
-        self.unknown_jobs.discard(spec.job_id)
-        for machine in self.machines.values():
-            for key, stray in machine.strays.items():
-                if key[0] == spec.job_id and stray.team < 0:
-                    stray.need, stray.team = need, -1 if team is None else team
-                    self._book(machine, need, stray.team, 1.0)
-
-    def _exited(self, binding: Binding, task: TaskReport, now: float) -> None:
-        job, machine = binding.job, binding.machine
-        assert job is not None
-        cause = task.cause
-        if cause == names.DONE:
-            machine.error_jobs.clear()
-            machine.error_until = 0.0
-            if binding.started and not job.gang:
-                self.estimates.learn(
-                    job.spec.job_class, job.spec.estimated_run_s, now - binding.started
-                )
-            self.mark_done(job, binding.index)
-        elif cause == names.ERROR:
-            self._errored(job, machine, now)
-        elif cause in (names.FULL, names.IN_USE, names.UNKNOWN):
-            log.info("start of %s refused by %s: %s", task.task_id, machine.name, cause)
-            job.wait_until = max(job.wait_until, now + self.limits.workers.report_s)
-        if job.gang and cause == names.HALTED and task.saved:
-            # Saved: the others have saved too or are about to exit, nothing is lost by waiting.
-            job.failed = True
-        self.release(binding, now, f"{task.task_id} exited: {cause}")
-
-    def _errored(self, job: Job, machine: Machine, now: float) -> None:
-        """Tell a sick machine from a job that fails everywhere."""
-        job.error_machines.add(machine.name)
-        machine.error_jobs.add(job.job_id)
-        machine.error_until = now + min(ERROR_MOST_S, ERROR_PAUSE_S * len(machine.error_jobs))
-        job.wait_until = max(job.wait_until, now + min(30.0, 1.0 * len(job.error_machines)))
-        blamed = [
-            job_id
-            for job_id in machine.error_jobs
-            if (other := self.jobs.get(job_id)) is None
-            or other.n_done > 0
-            or len(other.error_machines) < JOB_AT_FAULT
-        ]
-        log.info(
-            "task of %s failed on %s (%d jobs failed there)",
-            job.job_id,
-            machine.name,
-            len(machine.error_jobs),
-        )
-        if len(blamed) >= SICK_ERRORS and not machine.condemned:
-            machine.condemned = "fails its tasks"
-
-    def _late_exit(self, job_id: str, index: int, task: TaskReport, now: float) -> None:
-        """An exit that no binding explains: done is done, whoever started it."""
-        job = self.jobs.get(job_id)
-        if job is None or job.over or not 0 <= index < job.spec.task_count:
-            return
-        if task.cause == names.DONE and not job.done[index]:
-            self.mark_done(job, index)
-            other = job.bindings.get(index)
-            if other is not None:
-                self.want_stop(other, 0.0)
-
-    def _may_reap(self, job_id: str, index: int, task: TaskReport) -> bool:
-        """Done tasks are reaped once that is durable, all others at once."""
-        if task.cause != names.DONE:
-            return True
-        job = self.jobs.get(job_id)
-        return job is None or bool(job.over) or index in job.saved
+        """Orders for the worker, or None when the report must not be answered with 200."""
+        return reports.handle(self, report, now, direct)
 
     # -- views --------------------------------------------------------------------------
 
--- /dev/null
+++ b/src/salthead/coordination/strays.py
@@ -0,0 +1,65 @@
+"""Stray tasks: those on a machine that no binding explains, so that their stop is wanted.
+
+Until a report shows that one is gone it holds its booking on the machine, its team's quota, and
+its job, of which nothing is started. Of a job that is unknown here the team is unknown as well, and
+nothing at all is started until its record has been read.
+"""
+
+from __future__ import annotations
+
+import logging
+from typing import TYPE_CHECKING
+
+from salthead.coordination.model import NOTHING, Binding, Machine, Vec
+from salthead.protocol.messages import Submission
+
+if TYPE_CHECKING:
+    from salthead.coordination.ledger import Ledger
+
+log = logging.getLogger("salthead.strays")
+
+StrayKey = tuple[str, int, int]  # job, task number and attempt
+
+
+def add(ledger: Ledger, machine: Machine, key: StrayKey) -> None:
+    """Note a stray task that a report shows, and book what it takes."""
+    if key in machine.strays:
+        return
+    job_id, index, attempt = key
+    job = ledger.jobs.get(job_id)
+    if job is not None:
+        team, need = job.team, job.need
+    elif job_id in ledger.team_of:
+        team, need = ledger.team_of[job_id]
+    else:
+        team, need = -1, NOTHING
+        ledger.unknown_jobs.add(job_id)
+    log.info("stray task %s/%d attempt %d on %s", job_id, index, attempt, machine.name)
+    ledger.stray_jobs[job_id] = ledger.stray_jobs.get(job_id, 0) + 1
+    machine.strays[key] = Binding(job, index, attempt, machine, need, team, stray=True)
+    ledger.book(machine, need, team, 1.0)
+
+
+def drop(ledger: Ledger, machine: Machine, key: StrayKey) -> None:
+    """The stray task is certainly gone: release what it took."""
+    stray = machine.strays.pop(key)
+    ledger.book(machine, stray.need, stray.team, -1.0)
+    left = ledger.stray_jobs.pop(key[0], 1) - 1
+    if left > 0:
+        ledger.stray_jobs[key[0]] = left
+    else:
+        ledger.unknown_jobs.discard(key[0])
+    ledger.on_change()
+
+
+def identify_job(ledger: Ledger, spec: Submission) -> None:
+    """The record of an ended job whose tasks are still on machines: count them in."""
+    team = ledger.team_names.get(spec.team)
+    need: Vec = (spec.vcpus, spec.accelerators, spec.ram_gb)
+    ledger.team_of[spec.job_id] = (-1 if team is None else team, need)
+    ledger.unknown_jobs.discard(spec.job_id)
+    for machine in ledger.machines.values():
+        for key, stray in machine.strays.items():
+            if key[0] == spec.job_id and stray.team < 0:
+                stray.need, stray.team = need, -1 if team is None else team
+                ledger.book(machine, need, stray.team, 1.0)
--- a/src/salthead/coordination/zone_leases.py
+++ b/src/salthead/coordination/zone_leases.py
@@ -23,6 +23,9 @@
     return seen + ttl * (1.0 + DRIFT) + 0.1
 
 
+SENT_ON_KEPT = 5000  # workers, before those of long ago are dropped
+
+
 class ZoneLease:
     """The node's side: when it may answer in the leader's name."""
 
@@ -65,7 +68,7 @@
     def came_back(self, worker: str, now: float) -> bool:
         """Note that a worker is here; whether it had been sent to the leader shortly before."""
         before = self.sent_on.get(worker, -math.inf)
-        if len(self.sent_on) > 5000:
+        if len(self.sent_on) > SENT_ON_KEPT:
             self.sent_on = {w: at for w, at in self.sent_on.items() if now - at < self.BACK_S}
         self.sent_on[worker] = now
         return now - before < self.BACK_S
--- a/src/salthead/term.py
+++ b/src/salthead/term.py
@@ -21,10 +21,11 @@
     drop,
     put,
 )
-from salthead.coordination import gangs, placement, preemption
+from salthead.coordination import gangs, placement, preemption, reports, strays
 from salthead.coordination.lease import LeaseClock, promise_s
-from salthead.coordination.ledger import MAX_ORDERS, Ledger
+from salthead.coordination.ledger import Ledger
 from salthead.coordination.model import UP, Job, Machine
+from salthead.coordination.reports import MAX_ORDERS
 from salthead.coordination.zone_leases import counted_until
 from salthead.job_records import JobRecords
 from salthead.outcomes import Outcomes
@@ -300,7 +301,7 @@
                 try:
                     row = await self.store.get(records.over_key(job_id))
                     if row is not None:
-                        self.ledger.identify_job(records.over_from(row[0])[1])
+                        strays.identify_job(self.ledger, records.over_from(row[0])[1])
                 except TROUBLES as error:
                     self.node.note("stray task", error)
             await self.node.rest(0.5)
@@ -373,7 +374,7 @@
                 "POST", names.DO, body, timeout=2.0, endpoint=machine.endpoint
             )
             if answer.status in (200, 409):
-                self.ledger.mark_responsive(machine, self.now())
+                reports.mark_responsive(self.ledger, machine, self.now())
 
     async def decide_loop(self) -> None:
         looked = -1e9
--- a/tests/test_ledger.py
+++ b/tests/test_ledger.py
@@ -5,7 +5,7 @@
 import pytest
 
 from helpers import job, ledger, machine, ready, report, spec, verbs
-from salthead.coordination import fleet, placement
+from salthead.coordination import fleet, placement, reports, strays
 from salthead.coordination.lease import surely_over
 from salthead.coordination.model import LOST, UP
 from salthead.protocol.messages import Submission
@@ -229,7 +229,7 @@
         place(led)
         assert not led.jobs["req-1"].bindings, "whose quota the stray uses is not known yet"
         ended: Submission = spec(job_id="req-9", team="red", vcpus=23.0)
-        led.identify_job(ended)
+        strays.identify_job(led, ended)
         place(led, 5.0)
         assert not led.jobs["req-1"].bindings, "23 of 24 CPUs are taken"
         led.on_report(report("m1", 2), 6.0)
@@ -562,11 +562,11 @@
 
     def test_one_that_heals_is_used_again_after_a_pause_that_grows(self) -> None:
         led, found, one = self.deaf()
-        led.mark_responsive(found, 11.0)
+        reports.mark_responsive(led, found, 11.0)
         pause = found.trusted_again_at - 11.0
         assert pause > 0 and not found.responsive(11.0) and found.responsive(found.trusted_again_at)
         found.unresponsive_since, found.unresponsive_times = 40.0, 2
-        led.mark_responsive(found, 41.0)
+        reports.mark_responsive(led, found, 41.0)
         assert found.trusted_again_at - 41.0 == 2 * pause
 
     def test_one_that_does_not_is_replaced(self) -> None:
--- /dev/null
+++ b/tests/test_long_day.py
@@ -0,0 +1,94 @@
+"""A day on fake time, with small bounds: whatever a controller holds stays within them."""
+
+from __future__ import annotations
+
+import asyncio
+from collections import OrderedDict, deque
+from typing import Any
+
+import pytest
+
+from helpers import spec
+from salthead import service
+from salthead.coordination import ledger, zone_leases
+from salthead.coordination.pipelines import Pipelines
+from standins import World, run
+
+PERIODS = 3
+PERIOD_S = 400.0
+JOB_EVERY_S = 20.0
+CACHE = 12  # what the caches of final states are cut to here, so that they fill within the day
+TABLES = (dict, OrderedDict, list, set, deque)
+
+
+def table_sizes(node: Any) -> dict[str, int]:
+    """How much is in each table of a node, its term, and what the term is made of."""
+    parts = {"node": node, "zone lease": node.zone_lease, "store": node.store}
+    if node.term is not None:
+        term = node.term
+        parts |= {
+            "term": term,
+            "ledger": term.ledger,
+            "pipelines": term.ledger.pipelines,
+            "estimates": term.ledger.estimates,
+            "outcomes": term.outcomes,
+            "job records": term.job_records,
+            "rental": term.rental,
+            "views": term.views,
+            "done pages": term.parts,
+            "roster": term.roster,
+        }
+    return {
+        f"{part}.{name}": len(value)
+        for part, owner in parts.items()
+        for name, value in vars(owner).items()
+        if isinstance(value, TABLES)
+    }
+
+
+async def submit_for(world: World, seconds: float, first: int) -> int:
+    """Small jobs in a row, some that depend on others, some cancelled; the last number."""
+    until, number = world.now() + seconds, first
+    while world.now() < until:
+        number += 1
+        after = [f"req-{number - 1}"] if number % 5 == 0 else None
+        await world.submit(
+            spec(f"req-{number}", task_count=3, estimated_run_s=6.0, depends_on=after)
+        )
+        if number % 7 == 0:
+            await world.cancel(f"req-{number}")
+        await asyncio.sleep(JOB_EVERY_S)
+    return number
+
+
+def test_jobs_leave_no_more_behind_than_the_caches_hold(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    monkeypatch.setattr(service, "FINALS_KEPT", CACHE)
+    monkeypatch.setattr(Pipelines, "ENDED_KEPT", CACHE)
+    monkeypatch.setattr(ledger, "TEAMS_KEPT", CACHE)
+    monkeypatch.setattr(ledger, "GONE_KEPT", CACHE)
+    monkeypatch.setattr(zone_leases, "SENT_ON_KEPT", CACHE)
+
+    async def day() -> tuple[World, list[dict[str, int]]]:
+        world = World(seed=3)
+        number, found = 0, []
+        for _ in range(PERIODS):
+            number = await submit_for(world, PERIOD_S, number)
+            await world.until_over()
+            found.append(
+                {
+                    f"{name} {table}": size
+                    for name, node in world.nodes.items()
+                    for table, size in table_sizes(node).items()
+                }
+            )
+        return world, found
+
+    world, periods = run(day)
+    assert world.broken == [] and len(world.final) >= PERIODS * 15
+    for table, size in periods[-1].items():
+        assert size <= CACHE or size <= periods[0].get(table, 0), (
+            table,
+            [h.get(table) for h in periods],
+        )
