--- /dev/null
+++ b/src/salthead/election.py
@@ -0,0 +1,127 @@
+"""How a node comes to lead: the key in the state service, and the abstentions that hold it back."""
+
+from __future__ import annotations
+
+import uuid
+from dataclasses import dataclass
+from typing import TYPE_CHECKING, Any
+
+from salthead.bookkeeping import records
+from salthead.bookkeeping.store import TROUBLES, Conflict, NoLease, Refused, Row, put
+from salthead.coordination import lease
+
+if TYPE_CHECKING:
+    from salthead.service import Node
+
+WATCH_S = 8.0  # one watch of the leader's key
+RETRY_S, CONFLICT_RETRY_S, TROUBLE_RETRY_S = 0.2, 0.05, 0.4
+
+
+@dataclass
+class Candidacy:
+    """The latest request to take the lead."""
+
+    nonce: str = ""  # empty: none, or its lead is over
+    grant: int = 0  # the lease that it was made under
+    sent: float = 0.0  # from when that lease counts
+
+
+class Election:
+    """One node's part in the election of a leader, for as long as its process lives."""
+
+    def __init__(self, node: Node) -> None:
+        self.node = node
+        self.ttl = lease.leader_ttl(node.limits.workers.lease_s)
+        self.candidacy = Candidacy()
+
+    async def loop(self) -> None:
+        """Watch the leader's key, stand when there is no leader, and lead when this node won."""
+        while True:
+            try:
+                row = await self.node.store.get(records.LEAD, urgent=True)
+                if self._won(row):
+                    await self._lead(row)
+                elif row is not None and not self._of_ended_process(row):
+                    await self._follow(row)
+                else:
+                    await self._stand(row)
+            except Conflict:
+                await self.node.rest(CONFLICT_RETRY_S)
+            except TROUBLES as error:
+                self.node.note("election", error)
+                await self.node.rest(TROUBLE_RETRY_S)
+
+    def _is_own(self, row: Row | None) -> bool:
+        return row is not None and row[0].get("member") == self.node.settings.member
+
+    def _won(self, row: Row | None) -> bool:
+        if row is None or not self.candidacy.nonce:
+            return False
+        return self._is_own(row) and row[0].get("nonce") == self.candidacy.nonce
+
+    def _of_ended_process(self, row: Row) -> bool:
+        """Whether an earlier process of this very member led: its key can be replaced at once."""
+        return self._is_own(row) and row[0].get("run") != self.node.run_id
+
+    async def _lead(self, row: Row | None) -> None:
+        assert row is not None
+        node, candidacy = self.node, self.candidacy
+        node.leader = node.settings.member
+        await node.lead(row[0]["token"], row[1], candidacy.grant, candidacy.sent, self.ttl)
+        candidacy.nonce = ""
+        node.leader = None
+        await node.rest(RETRY_S)
+
+    async def _follow(self, row: Row) -> None:
+        holder, stamp = row
+        self.node.leader = holder.get("member")
+        self.node.leader_token = int(holder.get("token", 0))
+        await self.node.store.changes(records.LEAD, stamp, WATCH_S)
+
+    async def _stand(self, row: Row | None) -> None:
+        """There is no leader, or an ended process of this member is named as one."""
+        node = self.node
+        node.leader = None
+        own = self._is_own(row)
+        token_row = await node.store.get(records.TOKEN, urgent=True)
+        if node.abstention.in_doubt:
+            # Without its lease an earlier try can't be carried out any more.
+            await node.store.end_grant(self.candidacy.grant)
+            node.abstention.in_doubt = False
+        if not node.abstention.may_stand(node.now(), own, token_row is None):
+            await node.rest(RETRY_S)
+            return
+        self.candidacy.sent = node.now()
+        self.candidacy.grant = await node.store.grant(self.ttl)
+        # Once more, with nothing awaited between this and the request to take the lead.
+        if not node.abstention.may_stand(node.now(), own, token_row is None):
+            await node.store.end_grant(self.candidacy.grant)
+            await node.rest(RETRY_S)
+            return
+        await self._take_lead(row, token_row)
+
+    async def _take_lead(self, row: Row | None, token_row: Row | None) -> None:
+        """Ask for the lead in one transaction that also raises the fencing token."""
+        node, candidacy = self.node, self.candidacy
+        token = (token_row[0]["n"] if token_row else 0) + 1
+        candidacy.nonce = uuid.uuid4().hex[:12]
+        value: dict[str, Any] = {
+            "member": node.settings.member,
+            "run": node.run_id,
+            "token": token,
+            "nonce": candidacy.nonce,
+        }
+        node.abstention.in_doubt = True
+        try:
+            await node.store.txn(
+                {
+                    records.LEAD: row[1] if row else 0,
+                    records.TOKEN: token_row[1] if token_row else 0,
+                },
+                [put(records.LEAD, value, candidacy.grant), put(records.TOKEN, {"n": token})],
+                urgent=True,
+            )
+            node.abstention.in_doubt = False
+        except (Conflict, Refused, NoLease):
+            node.abstention.in_doubt = False
+            raise
--- a/src/salthead/service.py
+++ b/src/salthead/service.py
@@ -19,7 +19,6 @@
 from salthead.bookkeeping.store import (
     TROUBLES,
     Conflict,
-    NoLease,
     Refused,
     Row,
     Store,
@@ -28,6 +27,7 @@
 )
 from salthead.coordination import lease
 from salthead.coordination.zone_leases import ZoneLease
+from salthead.election import Election
 from salthead.protocol import names
 from salthead.protocol.messages import (
     JOB_ID,
@@ -39,6 +39,7 @@
     status_body,
 )
 from salthead.settings import Settings
+from salthead.sockets import Sockets
 from salthead.term import Term
 from salthead.transport.client import Caller, Unanswered
 
@@ -57,32 +58,6 @@
 AWAITS_TOLD = 20
 
 
-class Sockets:
-    """How the platform's number of sockets is divided; 0 where it names none.
-
-    What the node itself opens is kept free of what is opened to it: a leader that can't reach the
-    state service, because workers and users hold all sockets, loses the lead.
-    """
-
-    PEER, CLOUD = 16, 4
-    # For listening, the loop, logs and what a health check opens.
-    SPARE = 16
-    # Direct calls to workers: what so few sockets let be in progress, and a part of what many do.
-    WORKER_LEAST, WORKER_PART = 16, 1 / 32
-    # Of those, what calls to join leave to stops, which must not wait behind silent machines.
-    JOIN_PART = 0.75
-
-    def __init__(self, most: int, peers: int) -> None:
-        self.workers = max(self.WORKER_LEAST, int(most * self.WORKER_PART))
-        self.joins = int(self.workers * self.JOIN_PART)
-        # A peer that was cut off leaves as many half open as it opens anew.
-        self.peers_in = 2 * self.PEER * peers if most else 0
-        own = (
-            Store.SLOTS + self.CLOUD + self.PEER * peers + self.workers + self.peers_in + self.SPARE
-        )
-        self.clients = max(self.SPARE, most - own) if most else 0
-
-
 class Later(Exception):
     """Can't be decided now; the client is told when to come back."""
 
@@ -168,7 +143,7 @@
 
     async def run(self) -> None:
         async with asyncio.TaskGroup() as group:
-            group.create_task(self.elect_loop())
+            group.create_task(Election(self).loop())
             group.create_task(self.machine_types_loop())
             group.create_task(self.lag_loop())
             group.create_task(self.reach_loop())
@@ -312,72 +287,6 @@
             self.term.ledger.set_machine_types(machine_types)
             self.term.wake()
 
-    async def elect_loop(self) -> None:
-        ttl = lease.leader_ttl(self.limits.workers.lease_s)
-        tried = ""
-        tether = 0
-        sent = 0.0
-        while True:
-            try:
-                row = await self.store.get(records.LEAD, urgent=True)
-                holder = row[0] if row else {}
-                stamp = row[1] if row else 0
-                mine = bool(row) and holder.get("member") == self.settings.member
-                if mine and tried and holder.get("nonce") == tried:
-                    self.leader = self.settings.member
-                    await self.lead(holder["token"], stamp, tether, sent, ttl)
-                    tried = ""
-                    self.leader = None
-                    await self.rest(0.2)
-                    continue
-                if row and not (mine and holder.get("run") != self.run_id):
-                    self.leader = holder.get("member")
-                    self.leader_token = int(holder.get("token", 0))
-                    await self.store.changes(records.LEAD, stamp, 8.0)
-                    continue
-                # No leader, or a process of this very member that has ended: its key can be
-                # replaced at once, since the member is the process that asks.
-                self.leader = None
-                token_row = await self.store.get(records.TOKEN, urgent=True)
-                token = (token_row[0]["n"] if token_row else 0) + 1
-                if self.abstention.in_doubt:
-                    # Without its lease an earlier try can't be carried out any more.
-                    await self.store.end_grant(tether)
-                    self.abstention.in_doubt = False
-                if not self.abstention.may_stand(self.now(), mine, token_row is None):
-                    await self.rest(0.2)
-                    continue
-                sent = self.now()
-                tether = await self.store.grant(ttl)
-                # Once more, with nothing awaited between this and the request to take the lead.
-                if not self.abstention.may_stand(self.now(), mine, token_row is None):
-                    await self.store.end_grant(tether)
-                    await self.rest(0.2)
-                    continue
-                tried = uuid.uuid4().hex[:12]
-                value = {
-                    "member": self.settings.member,
-                    "run": self.run_id,
-                    "token": token,
-                    "nonce": tried,
-                }
-                self.abstention.in_doubt = True
-                try:
-                    await self.store.txn(
-                        {records.LEAD: stamp, records.TOKEN: token_row[1] if token_row else 0},
-                        [put(records.LEAD, value, tether), put(records.TOKEN, {"n": token})],
-                        urgent=True,
-                    )
-                    self.abstention.in_doubt = False
-                except (Conflict, Refused, NoLease):
-                    self.abstention.in_doubt = False
-                    raise
-            except Conflict:
-                await self.rest(0.05)
-            except TROUBLES as error:
-                self.note("election", error)
-                await self.rest(0.4)
-
     async def promise(self, member: str) -> bool:
         """Promise a leader that lost the state service not to stand for a while.
 
--- /dev/null
+++ b/src/salthead/sockets.py
@@ -0,0 +1,31 @@
+"""How the sockets that the platform gives a process are divided among what it does."""
+
+from __future__ import annotations
+
+from salthead.bookkeeping.store import Store
+
+
+class Sockets:
+    """How the platform's number of sockets is divided; 0 where it names none.
+
+    What the node itself opens is kept free of what is opened to it: a leader that can't reach the
+    state service, because workers and users hold all sockets, loses the lead.
+    """
+
+    PEER, CLOUD = 16, 4
+    # For listening, the loop, logs and what a health check opens.
+    SPARE = 16
+    # Direct calls to workers: what so few sockets let be in progress, and a part of what many do.
+    WORKER_LEAST, WORKER_PART = 16, 1 / 32
+    # Of those, what calls to join leave to stops, which must not wait behind silent machines.
+    JOIN_PART = 0.75
+
+    def __init__(self, most: int, peers: int) -> None:
+        self.workers = max(self.WORKER_LEAST, int(most * self.WORKER_PART))
+        self.joins = int(self.workers * self.JOIN_PART)
+        # A peer that was cut off leaves as many half open as it opens anew.
+        self.peers_in = 2 * self.PEER * peers if most else 0
+        own = (
+            Store.SLOTS + self.CLOUD + self.PEER * peers + self.workers + self.peers_in + self.SPARE
+        )
+        self.clients = max(self.SPARE, most - own) if most else 0
--- a/tests/test_connections.py
+++ b/tests/test_connections.py
@@ -12,7 +12,8 @@
 
 from helpers import settings
 from salthead.protocol.messages import encode
-from salthead.service import Node, Sockets
+from salthead.service import Node
+from salthead.sockets import Sockets
 from salthead.transport.client import Caller, Unanswered
 from salthead.transport.connections import Connections
 from salthead.transport.handlers import ClientHandlers
