--- a/src/salthead/bookkeeping/pages.py
+++ b/src/salthead/bookkeeping/pages.py
@@ -96,8 +96,11 @@
 
     def _page_for(self, size: int) -> int:
         page = next((n for n in self.pages if self.sizes[n] + size <= self.most), -1)
-        return page if page >= 0 else next(
-            n for n in range(len(self.pages) + 1) if n not in self.pages)
+        return (
+            page
+            if page >= 0
+            else next(n for n in range(len(self.pages) + 1) if n not in self.pages)
+        )
 
     def _remove(self, name: str) -> int:
         page = self.where.pop(name)
@@ -150,8 +153,7 @@
         return found
 
     def _waits(self, page: int, found: Iterable[int]) -> bool:
-        return any(other in self.dirty and other not in found
-                   for other in self.ahead.get(page, ()))
+        return any(other in self.dirty and other not in found for other in self.ahead.get(page, ()))
 
     def key(self, page: int) -> str:
         return f"{self.prefix}{page:06d}"
--- a/src/salthead/bookkeeping/records.py
+++ b/src/salthead/bookkeeping/records.py
@@ -96,15 +96,21 @@
         lists[-1].append(uid)
         used += size
     if len(lists) > ops:
-        raise TooLong(f"awaits: {len(awaits)} jobs need {len(lists)} values of {kb:g} KiB, "
-                      f"and a transaction has {ops}")
+        raise TooLong(
+            f"awaits: {len(awaits)} jobs need {len(lists)} values of {kb:g} KiB, "
+            f"and a transaction has {ops}"
+        )
     head = msgspec.structs.replace(spec, awaits=lists[0] or None, more=len(lists) - 1)
     return [(job_key(spec.uid), job_value(head))] + [
-        (awaits_key(spec.uid, n), {"awaits": one}) for n, one in enumerate(lists[1:])]
+        (awaits_key(spec.uid, n), {"awaits": one}) for n, one in enumerate(lists[1:])
+    ]
 
 
 def over_value(
-    spec: Submission, phase: str, at: float = 0.0, kb: float = 0.0,
+    spec: Submission,
+    phase: str,
+    at: float = 0.0,
+    kb: float = 0.0,
 ) -> dict[str, Any]:
     """An outcome, with the time of day of its end. What the job awaited is of no use any more.
 
@@ -116,7 +122,8 @@
         value["at"] = at
     if kb and not fits(value, kb):
         small = msgspec.structs.replace(
-            bare, breed=spec.breed[:20], kit=None, builds=None, paddock=None)
+            bare, breed=spec.breed[:20], kit=None, builds=None, paddock=None
+        )
         value["spec"] = job_value(small)
     return value
 
@@ -163,8 +170,11 @@
 
     def bases(self, pieces: int) -> list[int]:
         """The first tasks of all items of a job with so many."""
-        return [base for start in range(0, pieces, self.size)
-                for base in range(start, min(start + self.size, pieces), self.cut)]
+        return [
+            base
+            for start in range(0, pieces, self.size)
+            for base in range(start, min(start + self.size, pieces), self.cut)
+        ]
 
     def base(self, index: int) -> int:
         start = index // self.size * self.size
@@ -228,8 +238,9 @@
         lists[-1].append(flavor)
     if not all(fits({"builds": one, "of": 9999}, kb) for one in lists):
         raise TooLong("a machine type is too long to be kept")
-    return [(f"{MORE_FLAVORS}{n:04d}", {"builds": one, "of": len(lists)})
-            for n, one in enumerate(lists)]
+    return [
+        (f"{MORE_FLAVORS}{n:04d}", {"builds": one, "of": len(lists)}) for n, one in enumerate(lists)
+    ]
 
 
 def flavors_from(rows: dict[str, Any]) -> dict[str, Any] | None:
--- a/src/salthead/bookkeeping/store.py
+++ b/src/salthead/bookkeeping/store.py
@@ -53,7 +53,11 @@
     SLOTS = URGENT + BULK + WATCHES
 
     def __init__(
-        self, endpoint: str, rps: float, write_rps: float, now: Callable[[], float],
+        self,
+        endpoint: str,
+        rps: float,
+        write_rps: float,
+        now: Callable[[], float],
         dial: Callable[[str, int], Caller] = Caller,
     ) -> None:
         # Leases have slots and a budget of their own: they never queue behind bulk work.
@@ -99,7 +103,8 @@
             if start:
                 query["from"] = start
             answer = self._check(
-                await self.bulk.call("GET", names.KEYS, query=query, timeout=3.0), prefix, 200)
+                await self.bulk.call("GET", names.KEYS, query=query, timeout=3.0), prefix, 200
+            )
             if first is None:
                 first = _int(answer.body, "epoch")
             for row in answer.body.get("rows") or []:
@@ -109,8 +114,12 @@
                 return rows, first
 
     async def txn(
-        self, when: dict[str, int], apply: list[dict[str, Any]], timeout: float = 2.0,
-        urgent: bool = False, bulk: bool = False,
+        self,
+        when: dict[str, int],
+        apply: list[dict[str, Any]],
+        timeout: float = 2.0,
+        urgent: bool = False,
+        bulk: bool = False,
     ) -> int:
         if not urgent:
             await (self.bulk_writes if bulk else self.writes).wait(len(apply))
@@ -129,13 +138,13 @@
 
     async def grant(self, ttl_s: float, timeout: float = 1.5) -> int:
         answer = await self.urgent.call(
-            "POST", names.GRANTS, {"ttl_ms": round(ttl_s * 1000)}, timeout=timeout)
+            "POST", names.GRANTS, {"ttl_ms": round(ttl_s * 1000)}, timeout=timeout
+        )
         self._check(answer, "grant", 200)
         return _int(answer.body, "tether")
 
     async def extend(self, tether: int, timeout: float) -> None:
-        answer = await self.urgent.call(
-            "POST", f"{names.GRANTS}/{tether}/extend", timeout=timeout)
+        answer = await self.urgent.call("POST", f"{names.GRANTS}/{tether}/extend", timeout=timeout)
         self._check(answer, "extend", 200, 404)
         if answer.status == 404:
             raise NoLease("extend")
@@ -148,8 +157,11 @@
         self, prefix: str, since: int, wait_s: float
     ) -> tuple[list[dict[str, Any]], int]:
         answer = await self.watches.call(
-            "GET", names.CHANGES, timeout=wait_s + 2.0,
-            query={"prefix": prefix, "from": since, "wait_ms": round(wait_s * 1000)})
+            "GET",
+            names.CHANGES,
+            timeout=wait_s + 2.0,
+            query={"prefix": prefix, "from": since, "wait_ms": round(wait_s * 1000)},
+        )
         if answer.status == 410:
             raise Compacted(prefix)
         self._check(answer, prefix, 200)
--- a/src/salthead/cli.py
+++ b/src/salthead/cli.py
@@ -28,8 +28,12 @@
 
 
 @main.command()
-@click.option("--config", required=True, type=click.Path(path_type=Path),
-              help="The settings file (TOML) that the platform hands over.")
+@click.option(
+    "--config",
+    required=True,
+    type=click.Path(path_type=Path),
+    help="The settings file (TOML) that the platform hands over.",
+)
 def serve(config: Path) -> None:
     """Run one controller until it is killed.
 
@@ -66,11 +70,18 @@
                 turn += 1
                 pause = 1.0
                 try:
-                    answer = client.fetch(HTTPRequest(
-                        f"http://{controller}{path}", method=method,
-                        body=None if method == "GET" else encode(body or {}),
-                        headers={"Content-Type": "application/cbor"}, follow_redirects=False,
-                        connect_timeout=5.0, request_timeout=5.0), raise_error=False)
+                    answer = client.fetch(
+                        HTTPRequest(
+                            f"http://{controller}{path}",
+                            method=method,
+                            body=None if method == "GET" else encode(body or {}),
+                            headers={"Content-Type": "application/cbor"},
+                            follow_redirects=False,
+                            connect_timeout=5.0,
+                            request_timeout=5.0,
+                        ),
+                        raise_error=False,
+                    )
                     if answer.code in (200, 201, 400, 404, 422):
                         return answer.code, decode_map(answer.body)
                     why = f"answers {answer.code}"
@@ -123,9 +134,7 @@
 
 
 def service_options(command: Any) -> Any:
-    def wrapped(
-        controllers: tuple[str, ...], timeout: float, as_json: bool, **rest: Any
-    ) -> Any:
+    def wrapped(controllers: tuple[str, ...], timeout: float, as_json: bool, **rest: Any) -> Any:
         return command(Service(controllers, timeout, as_json), **rest)
 
     wrapped.__doc__ = command.__doc__
@@ -133,13 +142,25 @@
     wrapped.__click_params__ = getattr(command, "__click_params__", [])  # type: ignore[attr-defined]
     for option in (
         click.option("--json", "as_json", is_flag=True, help="Print JSON, for programs."),
-        click.option("--timeout", type=click.FloatRange(min=0), default=60.0,
-                     envvar="SALTHEAD_TIMEOUT", show_envvar=True,
-                     help="Seconds to go on asking while no controller decides."),
-        click.option("--controller", "controllers", multiple=True, required=True,
-                     envvar="SALTHEAD_CONTROLLERS", show_envvar=True, metavar="HOST:PORT",
-                     callback=check_controllers,
-                     help="Client address of a controller; may be given several times."),
+        click.option(
+            "--timeout",
+            type=click.FloatRange(min=0),
+            default=60.0,
+            envvar="SALTHEAD_TIMEOUT",
+            show_envvar=True,
+            help="Seconds to go on asking while no controller decides.",
+        ),
+        click.option(
+            "--controller",
+            "controllers",
+            multiple=True,
+            required=True,
+            envvar="SALTHEAD_CONTROLLERS",
+            show_envvar=True,
+            metavar="HOST:PORT",
+            callback=check_controllers,
+            help="Client address of a controller; may be given several times.",
+        ),
     ):
         wrapped = option(wrapped)
     return wrapped
@@ -164,17 +185,28 @@
     ("due_s", float, "When the job should be complete, in seconds from now."),
 ]
 DEFAULTS = {
-    "shape": "array", "urgency": "normal", "pieces": 1, "vcpus": 1.0, "accelerators": 0.0,
-    "ram_gb": 1.0, "image_gb": 0.0, "guess_s": 0.0, "cairn_s": 0.0, "stow_s": 0.0,
-    "same_place": False, "apart": False, "borrowed": False,
+    "shape": "array",
+    "urgency": "normal",
+    "pieces": 1,
+    "vcpus": 1.0,
+    "accelerators": 0.0,
+    "ram_gb": 1.0,
+    "image_gb": 0.0,
+    "guess_s": 0.0,
+    "cairn_s": 0.0,
+    "stow_s": 0.0,
+    "same_place": False,
+    "apart": False,
+    "borrowed": False,
 }
 
 
 def field_options(command: Any) -> Any:
     for name, kind, text in reversed(FIELDS):
         default = f"  [default: {DEFAULTS[name]}]" if name in DEFAULTS else ""
-        command = click.option(
-            "--" + name.replace("_", "-"), name, type=kind, help=text + default)(command)
+        command = click.option("--" + name.replace("_", "-"), name, type=kind, help=text + default)(
+            command
+        )
     return command
 
 
@@ -193,17 +225,29 @@
 @service_options
 @field_options
 @click.option("--build", "builds", multiple=True, help="Allowed machine type; may be repeated.")
-@click.option("--awaits", multiple=True, metavar="UID",
-              help="Job that has to be done before this one starts; may be repeated.")
+@click.option(
+    "--awaits",
+    multiple=True,
+    metavar="UID",
+    help="Job that has to be done before this one starts; may be repeated.",
+)
 @click.option("--same-place", is_flag=True, help="All tasks in one zone.")
 @click.option("--apart", is_flag=True, help="At most half of the tasks in one zone.")
 @click.option("--borrowed", is_flag=True, help="Spot machines may be used.")
-@click.option("--file", "path", type=click.Path(path_type=Path, exists=True, dir_okay=False),
-              help="Job file, TOML or .json, with the fields; flags go before it.")
+@click.option(
+    "--file",
+    "path",
+    type=click.Path(path_type=Path, exists=True, dir_okay=False),
+    help="Job file, TOML or .json, with the fields; flags go before it.",
+)
 @click.option("--wait", is_flag=True, help="Wait until the job is over.")
 def submit(
-    service: Service, builds: tuple[str, ...], awaits: tuple[str, ...], path: Path | None,
-    wait: bool, **given: Any
+    service: Service,
+    builds: tuple[str, ...],
+    awaits: tuple[str, ...],
+    path: Path | None,
+    wait: bool,
+    **given: Any,
 ) -> None:
     """Submit a job.
 
@@ -255,8 +299,10 @@
 def table(rows: list[dict[str, Any]], columns: tuple[str, ...]) -> list[str]:
     cells = [list(columns)] + [[str(row.get(c, "")) for c in columns] for row in rows]
     widths = [max(len(line[n]) for line in cells) for n in range(len(columns))]
-    return ["  ".join(cell.ljust(width) for cell, width in zip(line, widths, strict=True)).rstrip()
-            for line in cells]
+    return [
+        "  ".join(cell.ljust(width) for cell, width in zip(line, widths, strict=True)).rstrip()
+        for line in cells
+    ]
 
 
 @main.command()
@@ -266,17 +312,35 @@
     code, found = service.ask("GET", "/overview")
     if code != 200:
         fail(f"no overview: {found.get('error', code)}", UNREACHABLE)
-    lines = [f"leader {found['leader']}, token {found['token']}, "
-             f"{'ready' if found['ready'] else 'taking over'}", "", "teams:"]
+    lines = [
+        f"leader {found['leader']}, token {found['token']}, "
+        f"{'ready' if found['ready'] else 'taking over'}",
+        "",
+        "teams:",
+    ]
     lines += table(found["teams"], ("name", "cpus", "guaranteed", "most"))
     lines += ["", f"jobs ({found['jobs_total']}):"]
     # An earlier version that leads does not name what jobs await.
     rows = [job | {"awaits": " ".join(job.get("awaits") or [])} for job in found["jobs"]]
-    lines += table(rows, ("uid", "crew", "breed", "urgency", "phase", "waiting",
-                          "running", "done", "pieces", "awaits"))
+    lines += table(
+        rows,
+        (
+            "uid",
+            "crew",
+            "breed",
+            "urgency",
+            "phase",
+            "waiting",
+            "running",
+            "done",
+            "pieces",
+            "awaits",
+        ),
+    )
     lines += ["", f"machines ({found['machines_total']}):"]
-    lines += table(found["machines"], ("name", "build", "zone", "kind", "phase", "cpus", "used",
-                                       "note"))
+    lines += table(
+        found["machines"], ("name", "build", "zone", "kind", "phase", "cpus", "used", "note")
+    )
     service.show(found, "\n".join(lines))
 
 
--- a/src/salthead/coordination/fleet.py
+++ b/src/salthead/coordination/fleet.py
@@ -106,9 +106,12 @@
 
     def places(self, kind: Kind, need: Vec) -> int:
         return sum(
-            min((int((r + 1e-6) // n) for r, n in zip(slot.room, need, strict=True) if n > 0),
-                default=0)
-            for slot in self.slots.get(kind, ()))
+            min(
+                (int((r + 1e-6) // n) for r, n in zip(slot.room, need, strict=True) if n > 0),
+                default=0,
+            )
+            for slot in self.slots.get(kind, ())
+        )
 
 
 @dataclass
@@ -168,7 +171,9 @@
     boot_s = least_boot_s(ledger)
     work = sum(
         job.waiting() * job.need[0] * ledger.estimates.run_s(job.spec.breed, job.spec.guess_s)
-        for job in line if not job.gang)
+        for job in line
+        if not job.gang
+    )
     rate = order.rate_of(ledger)
     booting = sum(m.cap[0] for m in ledger.machines.values() if m.phase == BOOTING)
     # One array that comes, or a fleet that begins to boot, has a long line, too: what is hired for
@@ -186,8 +191,10 @@
     """Room that is free, or will be by the time that a new machine could be up."""
     slots: list[Slot] = []
     soon_s = 0.7 * least_boot_s(ledger)
-    runs = {job.uid: ledger.estimates.run_s(job.spec.breed, job.spec.guess_s)
-            for job in ledger.live.values()}
+    runs = {
+        job.uid: ledger.estimates.run_s(job.spec.breed, job.spec.guess_s)
+        for job in ledger.live.values()
+    }
     for machine in ledger.machines.values():
         if machine.condemned or machine.returning or machine.warn_at is not None:
             continue
@@ -202,7 +209,8 @@
             for binding in machine.bindings.values():
                 job = binding.job
                 if binding.stop is not None or (
-                    job is not None and binding.started > 0.0
+                    job is not None
+                    and binding.started > 0.0
                     and left_s(runs.get(job.uid, math.inf), now - binding.started) <= soon_s
                 ):
                     for n in range(3):
@@ -222,7 +230,10 @@
 
 
 def plan(
-    ledger: Ledger, now: float, refusals: Refusals, coming: dict[Kind, int],
+    ledger: Ledger,
+    now: float,
+    refusals: Refusals,
+    coming: dict[Kind, int],
 ) -> Plan:
     """The difference between the fleet that the queue wants and the one that is there."""
     result = Plan()
@@ -243,8 +254,7 @@
         for job in line:
             _provide(ledger, job, job.waiting(), pool, new, left[job.crew], span, refusals, now)
         for job in soon:
-            _provide(
-                ledger, job, job.spec.pieces, pool, new, left[job.crew], span, refusals, now)
+            _provide(ledger, job, job.spec.pieces, pool, new, left[job.crew], span, refusals, now)
     counts: dict[Kind, int] = defaultdict(int)
     for slot in new:
         counts[slot.kind] += 1
@@ -254,7 +264,8 @@
         mark_surplus(ledger, needed, now)
     counted = Counted(ledger, now)
     result.returns = [
-        machine for machine in ledger.machines.values()
+        machine
+        for machine in ledger.machines.values()
         if not machine.returning and wanted_back(ledger, machine, needed, counted, now)
     ]
     return result
@@ -267,8 +278,10 @@
     for uids in ledger.pipelines.breeds.values():
         for uid in uids:
             before = [ledger.live.get(other) for other in ledger.pipelines.nodes[uid].open]
-            if all(other is not None and not other.waiting() and end_s(ledger, other, now) <= boot_s
-                   for other in before):
+            if all(
+                other is not None and not other.waiting() and end_s(ledger, other, now) <= boot_s
+                for other in before
+            ):
                 found.append(ledger.jobs[uid])
     return found
 
@@ -276,8 +289,13 @@
 def end_s(ledger: Ledger, job: Job, now: float) -> float:
     """How long the last of a job's tasks should go on, all of which have a machine."""
     run_s = ledger.estimates.run_s(job.spec.breed, job.spec.guess_s)
-    return max((left_s(run_s, now - binding.started) if binding.started else run_s
-                for binding in job.bindings.values()), default=0.0)
+    return max(
+        (
+            left_s(run_s, now - binding.started) if binding.started else run_s
+            for binding in job.bindings.values()
+        ),
+        default=0.0,
+    )
 
 
 def mark_surplus(ledger: Ledger, needed: set[str], now: float) -> None:
@@ -287,11 +305,16 @@
     fleet that was hired for a peak would stay. Tasks are packed, in thought, on the cheapest
     machines; a machine that stays untouched takes no more tasks and is returned once empty.
     """
-    up = [m for m in ledger.machines.values()
-          if m.phase == UP and not m.condemned and not m.returning and m.warn_at is None]
+    up = [
+        m
+        for m in ledger.machines.values()
+        if m.phase == UP and not m.condemned and not m.returning and m.warn_at is None
+    ]
     up = [m for m in up if m.build in ledger.flavors]
-    costs = {kind: price(ledger, kind) / max(ledger.capacity(kind[0])[0], 1e-9)
-             for kind in {m.kind for m in up}}
+    costs = {
+        kind: price(ledger, kind) / max(ledger.capacity(kind[0])[0], 1e-9)
+        for kind in {m.kind for m in up}
+    }
     up.sort(key=lambda m: (costs[m.kind], m.name))
     slots = [Slot(m.kind, list(m.cap), m) for m in up]
     cheapest = sorted(costs, key=lambda kind: (costs[kind], kind))
@@ -349,15 +372,21 @@
 
 
 def wanted_back(
-    ledger: Ledger, machine: Machine, needed: set[str], counted: Counted, now: float,
+    ledger: Ledger,
+    machine: Machine,
+    needed: set[str],
+    counted: Counted,
+    now: float,
 ) -> str:
     """Why the machine should be returned now; empty when it should not."""
     if machine.phase == LOST:
         flavor = ledger.flavors.get(machine.build)
         cut = counted.lost_many and flavor is not None and now - machine.lost_at < flavor.boot_s
         return "" if cut else "lost"
-    if machine.phase == UP and machine.joined and (
-        machine.answered - machine.heard > ledger.limits.workers.lease_s
+    if (
+        machine.phase == UP
+        and machine.joined
+        and (machine.answered - machine.heard > ledger.limits.workers.lease_s)
     ):
         # Copies alone, or a worker that began to count anew: nothing that it says is news, and
         # each answer puts off the end of its lease. The cloud's word ends that.
@@ -386,8 +415,15 @@
 
 
 def _provide(
-    ledger: Ledger, job: Job, count: int, pool: Pool, new: list[Slot], left: list[float],
-    span: float, refusals: Refusals, now: float,
+    ledger: Ledger,
+    job: Job,
+    count: int,
+    pool: Pool,
+    new: list[Slot],
+    left: list[float],
+    span: float,
+    refusals: Refusals,
+    now: float,
 ) -> None:
     for n in range(2):
         if job.need[n] > 0:
@@ -397,15 +433,20 @@
             return
     else:
         # Short tasks share a place one after the other.
-        count = min(count, math.ceil(count * ledger.estimates.run_s(
-            job.spec.breed, job.spec.guess_s) / max(span, 1.0)))
+        count = min(
+            count,
+            math.ceil(
+                count * ledger.estimates.run_s(job.spec.breed, job.spec.guess_s) / max(span, 1.0)
+            ),
+        )
     for n in range(2):
         left[n] -= count * job.need[n]
     hirable = kinds_for(ledger, job, refusals, now)
     # What would be hired first is filled first, so that it is what is dear that falls empty.
     there = hirable + sorted(
         (kind for kind in pool.slots if kind not in hirable and suits(job, kind)),
-        key=lambda kind: (price(ledger, kind) if kind[0] in ledger.flavors else math.inf, kind))
+        key=lambda kind: (price(ledger, kind) if kind[0] in ledger.flavors else math.inf, kind),
+    )
     if job.gang and job.spec.same_place:
         zone = _best_zone(job, pool, there, hirable, count)
         if zone is None:
@@ -425,7 +466,11 @@
 
 
 def _best_zone(
-    job: Job, pool: Pool, there: list[Kind], hirable: list[Kind], count: int,
+    job: Job,
+    pool: Pool,
+    there: list[Kind],
+    hirable: list[Kind],
+    count: int,
 ) -> int | None:
     """The zone in which a gang that must stay together lacks the fewest machines."""
     have: dict[int, int] = defaultdict(int)
--- a/src/salthead/coordination/gangs.py
+++ b/src/salthead/coordination/gangs.py
@@ -25,8 +25,9 @@
     ends = []
     for binding in machine.bindings.values():
         other = binding.job
-        run_s = 0.0 if other is None else ledger.estimates.run_s(
-            other.spec.breed, other.spec.guess_s)
+        run_s = (
+            0.0 if other is None else ledger.estimates.run_s(other.spec.breed, other.spec.guess_s)
+        )
         age_s = now - binding.started if binding.started else 0.0
         ends.append((now + left_s(run_s, age_s), binding.need))
     ends.sort(key=lambda pair: pair[0])
@@ -66,9 +67,7 @@
             for _, _, _, machine in rows:
                 if len(found) == job.spec.pieces:
                     break
-                if zone in (None, machine.zone) and placement.zone_open(
-                    job, machine.zone, counts
-                ):
+                if zone in (None, machine.zone) and placement.zone_open(job, machine.zone, counts):
                     found.append(machine)
                     counts[machine.zone] = counts.get(machine.zone, 0) + 1
             if len(found) == job.spec.pieces and (
--- a/src/salthead/coordination/keeping.py
+++ b/src/salthead/coordination/keeping.py
@@ -46,8 +46,11 @@
 
     def allowed(self, value: Any) -> bool:
         """What the leader wrote in return: only an answer to the latest question counts."""
-        answers = type(value) is dict and bool(self.nonce) and (
-            value.get("token") == self.token and value.get("nonce") == self.nonce)
+        answers = (
+            type(value) is dict
+            and bool(self.nonce)
+            and (value.get("token") == self.token and value.get("nonce") == self.nonce)
+        )
         if answers:
             self.until = max(self.until, valid_until(self.asked, self.ttl))
         return answers
--- a/src/salthead/coordination/ledger.py
+++ b/src/salthead/coordination/ledger.py
@@ -60,9 +60,14 @@
 # Answers with the same start of which none was executed, before a machine is taken for deaf.
 DEAF_ANSWERS = 3
 
+
 class Ledger:
     def __init__(
-        self, limits: Limits, token: int, now: float, wall: float | None = None,
+        self,
+        limits: Limits,
+        token: int,
+        now: float,
+        wall: float | None = None,
     ) -> None:
         self.limits = limits
         self.token = token
@@ -178,7 +183,8 @@
     def fitting(self, job: Job) -> set[int]:
         """Types that a task of the job may be on and fits on."""
         return {
-            build for build in self.flavors
+            build
+            for build in self.flavors
             if (job.builds is None or build in job.builds)
             and all(c + EPS >= n for c, n in zip(self.capacity(build), job.need, strict=True))
         }
@@ -282,7 +288,7 @@
     def with_room(self, kinds: Iterable[Kind], need: Vec) -> Iterable[Machine]:
         """Machines of these kinds that have room, in the index's own order."""
         for kind in kinds:
-            for row in self.free[kind][int(need[0]):]:
+            for row in self.free[kind][int(need[0]) :]:
                 for machine in row:
                     if machine.fits(need):
                         yield machine
@@ -374,7 +380,13 @@
     # -- machines -----------------------------------------------------------------------
 
     def add_machine(
-        self, name: str, build: str, zone: str, borrowed: bool, now: float, rostered: bool = False,
+        self,
+        name: str,
+        build: str,
+        zone: str,
+        borrowed: bool,
+        now: float,
+        rostered: bool = False,
     ) -> Machine:
         """A machine heard of: hired, listed, reporting, or in the roster of an earlier term.
 
@@ -386,7 +398,11 @@
         if machine is None:
             index = self.builds.intern(build)
             machine = Machine(
-                name, index, self.zones.intern(zone), borrowed, self.capacity(index),
+                name,
+                index,
+                self.zones.intern(zone),
+                borrowed,
+                self.capacity(index),
                 hired_at=now,
             )
             self.machines[name] = machine
@@ -418,8 +434,10 @@
         waiting.revise_runs(self)
         for machine in self.machines.values():
             if machine.phase == UP and now > surely_over(
-                max(machine.answered, self.leases_from,
-                    self.kept_until.get(machine.zone, -math.inf)), lease_s
+                max(
+                    machine.answered, self.leases_from, self.kept_until.get(machine.zone, -math.inf)
+                ),
+                lease_s,
             ):
                 # Whatever it still reports of this session is late news: a worker that
                 # goes on does so with the next session and no tasks.
@@ -435,8 +453,12 @@
             if not self.unheard():
                 self.ready = True
                 self._end_partial_gangs(now)
-                log.info("takeover complete after %.2f s, %d machines, %d jobs",
-                         now - self.took_over, len(self.machines), len(self.jobs))
+                log.info(
+                    "takeover complete after %.2f s, %d machines, %d jobs",
+                    now - self.took_over,
+                    len(self.machines),
+                    len(self.jobs),
+                )
                 self.on_change()
 
     def keep_zone(self, area: str, until: float) -> bool:
@@ -454,7 +476,8 @@
         self.kept_until[zone] = max(until, self.kept_until.get(zone, -math.inf))
         return not any(
             (job.called_off or job.over == names.ABORTED) and binding.machine.zone == zone
-            for job in self.jobs.values() if job.called_off or job.over
+            for job in self.jobs.values()
+            if job.called_off or job.over
             for binding in job.bindings.values()
         ) and not any(m.ghosts for m in self.machines.values() if m.zone == zone)
 
@@ -497,7 +520,10 @@
         return self.ready or (self.loaded and job.fresh)
 
     def on_report(
-        self, report: Report, now: float, direct: bool = False,
+        self,
+        report: Report,
+        now: float,
+        direct: bool = False,
     ) -> list[dict[str, Any]] | None:
         """Orders for the worker, or None when the report must not be answered with 200.
 
@@ -525,7 +551,8 @@
                 # one that is not in the roster was never started anything.
                 return []
             machine = self.add_machine(
-                report.saltlick, report.build, report.paddock, report.borrowed, now)
+                report.saltlick, report.build, report.paddock, report.borrowed, now
+            )
             log.info("machine %s reports unexpectedly", machine.name)
         if report.tenure < machine.min_tenure:
             return None
@@ -574,13 +601,20 @@
             return []  # nothing is new, and nothing is wanted
         orders = self._pieces(machine, report, now, direct)
         machine.shown = report.pieces
-        machine.settled = not orders and not machine.ghosts and all(
-            binding.phase and binding.stop is None for binding in machine.bindings.values()
-        ) and all(piece.phase != names.EXITED for piece in report.pieces)
+        machine.settled = (
+            not orders
+            and not machine.ghosts
+            and all(binding.phase and binding.stop is None for binding in machine.bindings.values())
+            and all(piece.phase != names.EXITED for piece in report.pieces)
+        )
         return orders
 
     def _pieces(
-        self, machine: Machine, report: Report, now: float, direct: bool,
+        self,
+        machine: Machine,
+        report: Report,
+        now: float,
+        direct: bool,
     ) -> list[dict[str, Any]]:
         orders: list[dict[str, Any]] = []
         seen: set[tuple[str, int]] = set()
@@ -618,9 +652,7 @@
                         binding.job.first_start = now
                 binding.phase = piece.phase
                 self._image_seen(binding)
-            if binding.stop is not None and (
-                piece.phase != names.FLUSHING or binding.stop == 0.0
-            ):
+            if binding.stop is not None and (piece.phase != names.FLUSHING or binding.stop == 0.0):
                 orders.append(stop_order(piece.piece, piece.attempt, binding.stop))
                 binding.stop_sent = True
         for key, binding in list(machine.bindings.items()):
@@ -672,24 +704,27 @@
             log.info("machine %s hears again", machine.name)
             machine.deaf_since = None
             machine.trusted_at = now + min(  # bounded, or jobs that it fits would wait for minutes
-                self.limits.workers.report_s * 2.0 ** machine.deaf_times,
-                self.limits.workers.lease_s)
+                self.limits.workers.report_s * 2.0**machine.deaf_times, self.limits.workers.lease_s
+            )
             machine.freed = True
 
     def _image_seen(self, binding: Binding) -> None:
         spec = binding.job.spec if binding.job else None
         if spec is not None and spec.kit and binding.phase in (names.RUNNING, names.GATHERING):
             flavor = self.flavors.get(binding.machine.build)
-            binding.machine.has_image(
-                spec.kit, spec.image_gb, flavor.local_gb if flavor else 0.0)
+            binding.machine.has_image(spec.kit, spec.image_gb, flavor.local_gb if flavor else 0.0)
 
     def _adopt(
         self, machine: Machine, uid: str, index: int, piece: Piece, now: float
     ) -> Binding | None:
         """A task found on a machine that no binding explains: an earlier term started it."""
         job = self.jobs.get(uid)
-        if job is None or job.over or job.doomed or job.called_off or (
-            not 0 <= index < job.spec.pieces
+        if (
+            job is None
+            or job.over
+            or job.doomed
+            or job.called_off
+            or (not 0 <= index < job.spec.pieces)
         ):
             return None
         if job.done[index] or index in job.bindings:
@@ -768,12 +803,18 @@
         machine.error_until = now + min(ERROR_MOST_S, ERROR_PAUSE_S * len(machine.error_jobs))
         job.wait_until = max(job.wait_until, now + min(30.0, 1.0 * len(job.error_machines)))
         blamed = [
-            uid for uid in machine.error_jobs
+            uid
+            for uid in machine.error_jobs
             if (other := self.jobs.get(uid)) is None
-            or other.n_done > 0 or len(other.error_machines) < JOB_AT_FAULT
+            or other.n_done > 0
+            or len(other.error_machines) < JOB_AT_FAULT
         ]
-        log.info("task of %s failed on %s (%d jobs failed there)",
-                 job.uid, machine.name, len(machine.error_jobs))
+        log.info(
+            "task of %s failed on %s (%d jobs failed there)",
+            job.uid,
+            machine.name,
+            len(machine.error_jobs),
+        )
         if len(blamed) >= SICK_ERRORS and not machine.condemned:
             machine.condemned = "fails its tasks"
 
@@ -805,11 +846,16 @@
     def phase_of(self, job: Job) -> tuple[str, int, int]:
         """Phase, tasks done and tasks running, as users are told."""
         running = sum(
-            1 for b in job.bindings.values()
+            1
+            for b in job.bindings.values()
             if b.phase in (names.RUNNING, names.GATHERING, names.FLUSHING)
         )
         # Before the outcome is durable nobody is told of it.
         phase = job.over or (
-            names.ABORTED if job.doomed else
-            names.RUNNING if running or job.n_done else names.QUEUED)
+            names.ABORTED
+            if job.doomed
+            else names.RUNNING
+            if running or job.n_done
+            else names.QUEUED
+        )
         return phase, job.n_done, running
--- a/src/salthead/coordination/order.py
+++ b/src/salthead/coordination/order.py
@@ -24,8 +24,12 @@
 def overdue(job: Job, now: float) -> bool:
     """Whether half of the time within which any job has to begin is gone, and nothing of it has
     a machine: with its first task it has begun, and the rest of it waits for its turn."""
-    return job.first_start is None and not job.n_done and not job.bindings and (
-        now - job.since > 0.5 * BEGIN_WITHIN_S)
+    return (
+        job.first_start is None
+        and not job.n_done
+        and not job.bindings
+        and (now - job.since > 0.5 * BEGIN_WITHIN_S)
+    )
 
 
 def due(ledger: Ledger, job: Job, now: float) -> bool:
@@ -48,8 +52,11 @@
     """
     age = now - job.since
     waits = job.gang and not job.bindings and job.first_start is None
-    return waits and age > RESERVE_PART * BEGIN_WITHIN_S and (
-        age < 2.0 * BEGIN_WITHIN_S or int(age / BEGIN_WITHIN_S) % 2 == 0)
+    return (
+        waits
+        and age > RESERVE_PART * BEGIN_WITHIN_S
+        and (age < 2.0 * BEGIN_WITHIN_S or int(age / BEGIN_WITHIN_S) % 2 == 0)
+    )
 
 
 def pressing(job: Job, now: float) -> bool:
@@ -107,8 +114,7 @@
 def by_targets(ledger: Ledger, jobs: list[Job], rate: float, now: float) -> list[Job]:
     """One rank's jobs in the order in which they are served; ``rate`` is in CPUs."""
     rows: list[tuple[float, float, str, float, Job]] = []
-    first = sorted((job for job in jobs if overdue(job, now)),
-                   key=lambda job: (job.since, job.uid))
+    first = sorted((job for job in jobs if overdue(job, now)), key=lambda job: (job.since, job.uid))
     for job in jobs:
         if overdue(job, now):
             continue
--- a/src/salthead/coordination/pipelines.py
+++ b/src/salthead/coordination/pipelines.py
@@ -40,12 +40,18 @@
         self.breeds: dict[str, dict[str, None]] = {}  # jobs on whose run time others' times rest
 
     def add(
-        self, uid: str, awaits: Iterable[str], rank: int, breed: str, run_s: float,
+        self,
+        uid: str,
+        awaits: Iterable[str],
+        rank: int,
+        breed: str,
+        run_s: float,
         due: tuple[float, float],
     ) -> None:
         """A job that is not over. What it awaits and is neither here nor done is unsure."""
         node = self.nodes[uid] = Node(
-            rank, breed, run_s, due, inherited_rank=rank, inherited_due=due)
+            rank, breed, run_s, due, inherited_rank=rank, inherited_due=due
+        )
         for other in self.unsure.pop(uid, {}):
             node.after[other] = None
         for other in awaits:
--- a/src/salthead/coordination/placement.py
+++ b/src/salthead/coordination/placement.py
@@ -47,8 +47,11 @@
     after it miss it as well.
     """
     waiting = [
-        job for job in ledger.live.values()
-        if not job.failed and job.uid not in ledger.ghost_jobs and job.waiting() > 0
+        job
+        for job in ledger.live.values()
+        if not job.failed
+        and job.uid not in ledger.ghost_jobs
+        and job.waiting() > 0
         and ledger.may_place(job)
     ]
     at_once_s = ledger.prompt.within_s
@@ -58,8 +61,11 @@
     rate = order.rate_of(ledger)
     for guaranteed in (True, False):
         for rank in range(len(names.URGENCIES)):
-            same = [job for job in waiting if job.rank == rank and job.uid not in young
-                    and (job.uid in within) == guaranteed]
+            same = [
+                job
+                for job in waiting
+                if job.rank == rank and job.uid not in young and (job.uid in within) == guaranteed
+            ]
             first += order.by_targets(ledger, same, rate, now)
     return first
 
@@ -140,8 +146,13 @@
         return False
     for machine in ledger.with_room(kinds(ledger, job), job.need):
         if usable(ledger, machine, now):
-            left -= int(min((c - u + EPS) / n for c, u, n in
-                            zip(machine.cap, machine.used, job.need, strict=True) if n > 0))
+            left -= int(
+                min(
+                    (c - u + EPS) / n
+                    for c, u, n in zip(machine.cap, machine.used, job.need, strict=True)
+                    if n > 0
+                )
+            )
             if left <= 0:
                 return True
     return False
@@ -149,11 +160,16 @@
 
 def open_to(ledger: Ledger, job: Job, machine: Machine, now: float) -> bool:
     """Not kept for another job, nor of the only type for one that waits unless time presses."""
-    return insistent(job, now) or (
-        not machine.held_for or machine.held_for == job.uid or now >= machine.held_until
-    ) and machine.name not in job.error_machines and (
-        not ledger.choosy_wait or job.choosy or machine.build not in ledger.scarce
-        or order.due(ledger, job, now)
+    return (
+        insistent(job, now)
+        or (not machine.held_for or machine.held_for == job.uid or now >= machine.held_until)
+        and machine.name not in job.error_machines
+        and (
+            not ledger.choosy_wait
+            or job.choosy
+            or machine.build not in ledger.scarce
+            or order.due(ledger, job, now)
+        )
     )
 
 
@@ -222,7 +238,8 @@
 def kinds(ledger: Ledger, job: Job) -> list[Kind]:
     """The kinds of machines there are that suit the job."""
     return [
-        kind for kind in ledger.free
+        kind
+        for kind in ledger.free
         if (job.spec.borrowed or not kind[2])
         and (job.builds is None or kind[0] in job.builds)
         and (job.zone is None or kind[1] == job.zone)
@@ -232,7 +249,8 @@
 def candidates(ledger: Ledger, job: Job, now: float) -> list[Machine]:
     """The filter: machines that suit the job and have room for one task, zones aside."""
     return [
-        machine for machine in ledger.with_room(kinds(ledger, job), job.need)
+        machine
+        for machine in ledger.with_room(kinds(ledger, job), job.need)
         if usable(ledger, machine, now) and open_to(ledger, job, machine, now)
     ]
 
@@ -240,13 +258,20 @@
 def base_candidates(ledger: Ledger, job: Job, now: float) -> list[Machine]:
     """Machines that suit the job, room and its other tasks' zones aside."""
     return [
-        machine for kind in kinds(ledger, job) for row in ledger.free[kind] for machine in row
+        machine
+        for kind in kinds(ledger, job)
+        for row in ledger.free[kind]
+        for machine in row
         if usable(ledger, machine, now) and open_to(ledger, job, machine, now)
     ]
 
 
 def place_array(
-    ledger: Ledger, job: Job, rng: random.Random, now: float, only: Machine | None = None,
+    ledger: Ledger,
+    job: Job,
+    rng: random.Random,
+    now: float,
+    only: Machine | None = None,
 ) -> int:
     """Bind as many waiting tasks as find a machine; how many were bound."""
     wanted = min(job.waiting(), quota_left(ledger, job))
@@ -293,7 +318,11 @@
 
 
 def _draw_members(
-    ledger: Ledger, job: Job, base: list[Machine], rng: random.Random, now: float,
+    ledger: Ledger,
+    job: Job,
+    base: list[Machine],
+    rng: random.Random,
+    now: float,
 ) -> bool:
     counts: dict[int, int] = {}
     chosen: list[Machine] = []
@@ -342,8 +371,11 @@
             counts = zone_counts(job)
             counts[machine.zone] -= 1
             counts = {zone: count for zone, count in counts.items() if count}
-            found = [m for m in candidates(ledger, job, now)
-                     if not overdue(ledger, m, now) and zone_open(job, m.zone, counts)]
+            found = [
+                m
+                for m in candidates(ledger, job, now)
+                if not overdue(ledger, m, now) and zone_open(job, m.zone, counts)
+            ]
             if found:
                 other = draw(found, rng)
                 log.info("%s goes from silent %s to %s", binding.piece, machine.name, other.name)
@@ -351,7 +383,11 @@
 
 
 def attempt(
-    ledger: Ledger, job: Job, rng: random.Random, now: float, only: Machine | None = None,
+    ledger: Ledger,
+    job: Job,
+    rng: random.Random,
+    now: float,
+    only: Machine | None = None,
 ) -> int:
     """Place what can be placed of one job; how many tasks were bound."""
     if job.gang:
@@ -392,9 +428,14 @@
         if machine.cap[0] - machine.used[0] + EPS < ledger.line_least:
             return
         if (
-            job.over or job.failed or now < job.wait_until or not job.waiting()
-            or not machine.fits(job.need) or not allows(job, machine)
-            or not open_to(ledger, job, machine, now) or job.uid in ledger.ghost_jobs
+            job.over
+            or job.failed
+            or now < job.wait_until
+            or not job.waiting()
+            or not machine.fits(job.need)
+            or not allows(job, machine)
+            or not open_to(ledger, job, machine, now)
+            or job.uid in ledger.ghost_jobs
             or not ledger.may_place(job)
         ):
             continue
@@ -418,8 +459,10 @@
         judge(ledger, job, now)
         ahead = reserved[job.crew]
         job.behind = (0.0, 0.0)
-        if ahead is not None and not insistent(job, now) and (
-            job.gang or order.pressing(ahead, now)
+        if (
+            ahead is not None
+            and not insistent(job, now)
+            and (job.gang or order.pressing(ahead, now))
         ):
             job.behind = ahead.size()[:2]
         short = quota_left(ledger, job) < (job.spec.pieces if job.gang else 1)
--- a/src/salthead/coordination/preemption.py
+++ b/src/salthead/coordination/preemption.py
@@ -54,7 +54,12 @@
 
 
 def may_stop(
-    ledger: Ledger, job: Job, rank: int, victim: Binding, within: set[str], now: float,
+    ledger: Ledger,
+    job: Job,
+    rank: int,
+    victim: Binding,
+    within: set[str],
+    now: float,
 ) -> bool:
     """Whether the job, which pushes with this rank, may have the task stopped.
 
@@ -74,8 +79,10 @@
     if job.uid not in within or other.crew == job.crew or other.uid in within:
         return False
     flavor = ledger.flavors.get(victim.machine.build)
-    if flavor is None or now - job.since < PATIENCE_BOOTS * flavor.boot_s or (
-        other.gang and other.pushed
+    if (
+        flavor is None
+        or now - job.since < PATIENCE_BOOTS * flavor.boot_s
+        or (other.gang and other.pushed)
     ):
         return False
     usage, most = ledger.usage[other.crew], ledger.guarantees[other.crew]
@@ -95,12 +102,13 @@
 
 def could_push(ledger: Ledger, job: Job, within: set[str]) -> bool:
     """Whether anything runs that the job might push aside: spares the look at each machine."""
-    if any(ledger.ranks[job.rank + 1:]):
+    if any(ledger.ranks[job.rank + 1 :]):
         return True
     return job.uid in within and any(
         usage[n] > most[n]
         for crew, (usage, most) in enumerate(zip(ledger.usage, ledger.guarantees, strict=True))
-        if crew != job.crew for n in range(2)
+        if crew != job.crew
+        for n in range(2)
     )
 
 
@@ -110,7 +118,8 @@
     if (job.gang and wanted < job.spec.pieces) or not could_push(ledger, job, within):
         return 0
     base = [
-        m for m in placement.base_candidates(ledger, job, now)
+        m
+        for m in placement.base_candidates(ledger, job, now)
         if not placement.overdue(ledger, m, now)
         and all(c + 1e-6 >= n for c, n in zip(m.cap, job.need, strict=True))
     ]
@@ -119,8 +128,9 @@
         zones = [*sorted({m.zone for m in base})]
     best: tuple[float, list[tuple[Machine, list[Binding]]]] | None = None
     for zone in zones:
-        found = _room_in(ledger, job, [m for m in base if zone in (None, m.zone)],
-                         wanted, within, now)
+        found = _room_in(
+            ledger, job, [m for m in base if zone in (None, m.zone)], wanted, within, now
+        )
         if found is not None and (best is None or found[0] < best[0]):
             best = found
     if best is None:
@@ -138,7 +148,12 @@
 
 
 def _room_in(
-    ledger: Ledger, job: Job, base: list[Machine], wanted: int, within: set[str], now: float,
+    ledger: Ledger,
+    job: Job,
+    base: list[Machine],
+    wanted: int,
+    within: set[str],
+    now: float,
 ) -> tuple[float, list[tuple[Machine, list[Binding]]]] | None:
     restart_s = 2.0 * ledger.limits.workers.report_s
     rank = rank_to_push(ledger, job, now)
@@ -189,7 +204,9 @@
 
 
 def _victims(
-    room: list[float], options: list[tuple[float, Binding]], need: Vec,
+    room: list[float],
+    options: list[tuple[float, Binding]],
+    need: Vec,
 ) -> list[tuple[float, Binding]] | None:
     """The cheapest tasks, taken from the end of the list, whose going makes room."""
     left = list(room)
--- a/src/salthead/coordination/waiting.py
+++ b/src/salthead/coordination/waiting.py
@@ -21,27 +21,39 @@
     job.since = job.submitted
     due = (math.inf, math.inf)
     if spec.due_s is not None:
-        times = [aim.times for aim in ledger.limits.objectives
-                 if aim.kind == "deadline" and aim.breed == spec.breed]
-        due = (job.submitted + spec.due_s * min(times, default=1.0),
-               job.submitted + spec.due_s * max(times, default=1.0))
+        times = [
+            aim.times
+            for aim in ledger.limits.objectives
+            if aim.kind == "deadline" and aim.breed == spec.breed
+        ]
+        due = (
+            job.submitted + spec.due_s * min(times, default=1.0),
+            job.submitted + spec.due_s * max(times, default=1.0),
+        )
     ledger.pipelines.add(
-        job.uid, awaits, job.rank, spec.breed, ledger.estimates.run_s(spec.breed, spec.guess_s),
-        due)
+        job.uid, awaits, job.rank, spec.breed, ledger.estimates.run_s(spec.breed, spec.guess_s), due
+    )
     job.awaiting = bool(ledger.pipelines.nodes[job.uid].open)
     if not job.awaiting:
         ledger.live[job.uid] = job
         _count_from(ledger, job)
-    if any(known.doomed or known.over == names.ABORTED
-           for uid in awaits if (known := ledger.jobs.get(uid)) is not None):
+    if any(
+        known.doomed or known.over == names.ABORTED
+        for uid in awaits
+        if (known := ledger.jobs.get(uid)) is not None
+    ):
         _doom(ledger, [job.uid, *ledger.pipelines.aborted(job.uid)])
     _inherit(ledger)
 
 
 def _count_from(ledger: Ledger, job: Job) -> None:
     ended = ledger.pipelines.ended
-    job.since = max([job.submitted, *(
-        at for uid in job.spec.awaits or [] if (at := ended.get(uid)) is not None)])
+    job.since = max(
+        [
+            job.submitted,
+            *(at for uid in job.spec.awaits or [] if (at := ended.get(uid)) is not None),
+        ]
+    )
 
 
 def _ready(ledger: Ledger, uids: list[str]) -> None:
@@ -116,6 +128,6 @@
         if abs(factor - ledger.factors.get(breed, 1.0)) > 0.1 * factor:
             ledger.factors[breed] = factor
             ledger.pipelines.revise(
-                (uid, ledger.estimates.run_s(breed, ledger.jobs[uid].spec.guess_s))
-                for uid in uids)
+                (uid, ledger.estimates.run_s(breed, ledger.jobs[uid].spec.guess_s)) for uid in uids
+            )
     _inherit(ledger)
--- a/src/salthead/feed.py
+++ b/src/salthead/feed.py
@@ -44,10 +44,13 @@
         rest = {key: value for key, (value, _) in rows.items()}
         for key, (value, stamp) in jobs.items():
             self.take_row(key, value, stamp, rest, loading=True)
-        self.term.leftovers = {key: uid for key in rest
-                          if (uid := key.split("/")[1]) not in ledger.jobs}
-        self.load_parts({key: value for key, (value, _) in parts.items()},
-                        {key: stamp for key, (_, stamp) in parts.items()})
+        self.term.leftovers = {
+            key: uid for key in rest if (uid := key.split("/")[1]) not in ledger.jobs
+        }
+        self.load_parts(
+            {key: value for key, (value, _) in parts.items()},
+            {key: stamp for key, (_, stamp) in parts.items()},
+        )
         for key, (value, stamp) in roster.items():
             self.term.roster.load(key, value, stamp)
             for name, (build, zone, borrowed, endpoint) in value.items():
@@ -99,12 +102,19 @@
             end = min(self.term.stretches.end(base), job.spec.pieces)
             name = self.term.stretches.name(job.uid, base)
             first = base % self.term.stretches.size == 0
-            self.term.parts.set(name, self.term.stretches.item(
-                base, (n for n in range(base, end) if job.done[n])), ahead if first else ())
+            self.term.parts.set(
+                name,
+                self.term.stretches.item(base, (n for n in range(base, end) if job.done[n])),
+                ahead if first else (),
+            )
             ahead = [] if first else [*ahead, name]
 
     def take_row(
-        self, key: str, value: Any, stamp: int, rest: dict[str, Any] | None = None,
+        self,
+        key: str,
+        value: Any,
+        stamp: int,
+        rest: dict[str, Any] | None = None,
         loading: bool = False,
     ) -> None:
         """A job's record. ``rest`` has what continues it, if that was read."""
@@ -115,8 +125,10 @@
                     self.incomplete[spec.uid] = None
                     return
                 spec.awaits = (spec.awaits or []) + [
-                    uid for n in range(spec.more)
-                    for uid in records.awaits_from(rest.get(records.awaits_key(spec.uid, n)))]
+                    uid
+                    for n in range(spec.more)
+                    for uid in records.awaits_from(rest.get(records.awaits_key(spec.uid, n)))
+                ]
         except Malformed as error:
             self.term.node.note("job record", f"{key}: {error}")
             return
--- a/src/salthead/metrics.py
+++ b/src/salthead/metrics.py
@@ -6,21 +6,25 @@
 
 REGISTRY = CollectorRegistry()
 LATENCY = Histogram(
-    "salthead_request_seconds", "Time to answer a request", ["path"], registry=REGISTRY,
-    buckets=(0.002, 0.01, 0.05, 0.2, 1.0, 5.0))
-ANSWERS = Counter(
-    "salthead_answers_total", "Answers given", ["path", "status"], registry=REGISTRY)
-TROUBLE = Counter(
-    "salthead_trouble_total", "Errors by kind", ["kind"], registry=REGISTRY)
+    "salthead_request_seconds",
+    "Time to answer a request",
+    ["path"],
+    registry=REGISTRY,
+    buckets=(0.002, 0.01, 0.05, 0.2, 1.0, 5.0),
+)
+ANSWERS = Counter("salthead_answers_total", "Answers given", ["path", "status"], registry=REGISTRY)
+TROUBLE = Counter("salthead_trouble_total", "Errors by kind", ["kind"], registry=REGISTRY)
 LEADING = Gauge("salthead_leading", "1 while this node leads", registry=REGISTRY)
 TOKEN = Gauge("salthead_token", "Token of the term led by this node", registry=REGISTRY)
 MACHINES = Gauge("salthead_machines", "Machines by phase", ["phase"], registry=REGISTRY)
 WAITING = Gauge("salthead_waiting_tasks", "Tasks with no machine", registry=REGISTRY)
 AWAITING = Gauge(
-    "salthead_awaiting_jobs", "Jobs that wait for other jobs to be done", registry=REGISTRY)
+    "salthead_awaiting_jobs", "Jobs that wait for other jobs to be done", registry=REGISTRY
+)
 ACTIVE = Gauge("salthead_active_jobs", "Jobs that are not over", registry=REGISTRY)
 SPENT = Gauge(
-    "salthead_cpu_seconds", "Rented CPU-seconds of this term by use", ["use"], registry=REGISTRY)
+    "salthead_cpu_seconds", "Rented CPU-seconds of this term by use", ["use"], registry=REGISTRY
+)
 
 _SEEN: dict[tuple[str, int], tuple[Counter, Histogram]] = {}
 
--- a/src/salthead/outcomes.py
+++ b/src/salthead/outcomes.py
@@ -56,7 +56,8 @@
         if job.uid in self.in_doubt:
             return True
         return job.awaiting and self.ledger.pipelines.needs(
-            job.uid, {uid for uid, phase in self.in_doubt.items() if phase == names.ABORTED})
+            job.uid, {uid for uid, phase in self.in_doubt.items() if phase == names.ABORTED}
+        )
 
     async def cancel(self, job: Job) -> None:
         """Returns once the job's outcome is durable; raises when that can't be had now."""
@@ -99,21 +100,30 @@
         while self.due or self.ledger.doomed:
             # What users wait for, then what other jobs wait for; what follows from a durable
             # outcome may be told already, and a thousand of that must not hold up the rest.
-            first = sorted(self.due.values(), key=lambda job: (
-                not job.called_off, not self.ledger.pipelines.awaited(job.uid)))
-            await self.write(first[:most] or [
-                self.ledger.jobs[uid] for uid in islice(self.ledger.doomed, most)])
+            first = sorted(
+                self.due.values(),
+                key=lambda job: (not job.called_off, not self.ledger.pipelines.awaited(job.uid)),
+            )
+            await self.write(
+                first[:most] or [self.ledger.jobs[uid] for uid in islice(self.ledger.doomed, most)]
+            )
 
     async def write(self, jobs: list[Job]) -> None:
         """One transaction with the outcomes of a few jobs."""
         term = self.term
         at = time.time()
-        phases = {job.uid: names.DONE if job.complete and not job.doomed else names.ABORTED
-                  for job in jobs}
+        phases = {
+            job.uid: names.DONE if job.complete and not job.doomed else names.ABORTED
+            for job in jobs
+        }
         apply: list[dict[str, Any]] = []
         for job in jobs:
-            apply.append(put(records.over_key(job.uid), records.over_value(
-                job.spec, phases[job.uid], at, term.kept.value_kb)))
+            apply.append(
+                put(
+                    records.over_key(job.uid),
+                    records.over_value(job.spec, phases[job.uid], at, term.kept.value_kb),
+                )
+            )
             apply.append(drop(records.job_key(job.uid)))
         # A try that is refused was not carried out; those before it that had no answer may yet be.
         fresh = [job.uid for job in jobs if job.uid not in self.in_doubt and not job.doomed]
--- a/src/salthead/protocol/messages.py
+++ b/src/salthead/protocol/messages.py
@@ -60,8 +60,23 @@
 # What a user has to give: all that the protocol's page does not let be null, which alone may be
 # left out. Records and what nodes pass on leave out what has its usual value.
 GIVEN = (
-    "uid", "breed", "crew", "shape", "urgency", "pieces", "vcpus", "accelerators", "ram_gb", "kit",
-    "image_gb", "same_place", "apart", "borrowed", "guess_s", "cairn_s", "stow_s",
+    "uid",
+    "breed",
+    "crew",
+    "shape",
+    "urgency",
+    "pieces",
+    "vcpus",
+    "accelerators",
+    "ram_gb",
+    "kit",
+    "image_gb",
+    "same_place",
+    "apart",
+    "borrowed",
+    "guess_s",
+    "cairn_s",
+    "stow_s",
 )
 
 
@@ -210,7 +225,11 @@
 
 
 def status_body(
-    uid: str, phase: str, done: int = 0, running: int = 0, awaits: list[str] | None = None,
+    uid: str,
+    phase: str,
+    done: int = 0,
+    running: int = 0,
+    awaits: list[str] | None = None,
 ) -> dict[str, Any]:
     found: dict[str, Any] = {"uid": uid, "phase": phase, "done": done, "running": running}
     if awaits:
--- a/src/salthead/rental.py
+++ b/src/salthead/rental.py
@@ -41,8 +41,7 @@
         self.coming: dict[fleet.Kind, int] = {}
         self.refusals = fleet.Refusals()
         # A quarter is left for the other nodes' reads of machine types.
-        self.cloud_budget = Budget(
-            term.limits.cloud.rps * 0.7, term.limits.cloud.rps, term.now)
+        self.cloud_budget = Budget(term.limits.cloud.rps * 0.7, term.limits.cloud.rps, term.now)
         self.flavors_stored: list[Flavor] = []
 
     async def store_flavors(self) -> None:
@@ -51,12 +50,11 @@
         if not flavors or flavors == self.flavors_stored:
             return
         there, _ = await self.term.store.rows(records.MORE_FLAVORS)
-        rows = dict(records.flavors_rows(
-            msgspec.to_builtins(flavors), self.term.kept.value_kb))
+        rows = dict(records.flavors_rows(msgspec.to_builtins(flavors), self.term.kept.value_kb))
         changes = [put(key, value) for key, value in rows.items()]
         changes += [drop(key) for key in there if key not in rows]
         for at in range(0, len(changes), self.term.kept.txn_ops):
-            await self.term.txn({}, changes[at:at + self.term.kept.txn_ops])
+            await self.term.txn({}, changes[at : at + self.term.kept.txn_ops])
         self.flavors_stored = flavors
 
     async def list_loop(self) -> None:
@@ -92,7 +90,8 @@
                     continue  # the list lags
                 known = host.uid in self.ledger.machines
                 machine = self.ledger.add_machine(
-                    host.uid, host.build, host.paddock, host.borrowed, now)
+                    host.uid, host.build, host.paddock, host.borrowed, now
+                )
                 if not known:
                     log.info("machine %s found in the list (%s)", host.uid, host.phase)
                     machine.hired_at = now - host.age_s
@@ -124,8 +123,7 @@
                 for machine in plan.returns[100:]:
                     machine.returning = False
             self.term.views.show()
-            await self.term.node.rest(
-                max(PLAN_LEAST_GAP_S, REST_FACTOR * (self.now() - began)))
+            await self.term.node.rest(max(PLAN_LEAST_GAP_S, REST_FACTOR * (self.now() - began)))
 
     async def hire(self, kind: fleet.Kind, count: int) -> None:
         build, zone, borrowed = kind
@@ -133,8 +131,13 @@
         name = f"{self.term.token}-{self.hire_count}"
         self.coming[kind] = self.coming.get(kind, 0) + count
         type_name, zone_name = self.ledger.builds[build], self.ledger.zones[zone]
-        body = {"hire": name, "build": type_name, "how_many": count,
-                "paddock": zone_name, "borrowed": borrowed}
+        body = {
+            "hire": name,
+            "build": type_name,
+            "how_many": count,
+            "paddock": zone_name,
+            "borrowed": borrowed,
+        }
         got = 0
         try:
             # The same name again rents nothing twice, so an unanswered request is repeated.
@@ -160,8 +163,15 @@
             self.term.node.note("hire", error)
         finally:
             self.coming[kind] -= count
-        log.info("hire %s: %d of %d %s in %s%s", name, got, count, type_name, zone_name,
-                 " borrowed" if borrowed else "")
+        log.info(
+            "hire %s: %d of %d %s in %s%s",
+            name,
+            got,
+            count,
+            type_name,
+            zone_name,
+            " borrowed" if borrowed else "",
+        )
         if got < count:
             self.refusals.refused(kind, self.now())
         else:
@@ -173,7 +183,8 @@
         try:
             await self.cloud_budget.wait()
             answer = await self.term.node.cloud.call(
-                "POST", names.HOSTS_RETURN, {"saltlicks": hosts}, timeout=4.0)
+                "POST", names.HOSTS_RETURN, {"saltlicks": hosts}, timeout=4.0
+            )
             if answer.status != 200:
                 raise Refused(answer.status, "return")
         except TROUBLES as error:
--- a/src/salthead/serve.py
+++ b/src/salthead/serve.py
@@ -31,8 +31,10 @@
     if level not in LEVELS:
         raise CannotServe(f"LOG_LEVEL: {level!r} is none of {', '.join(LEVELS)}")
     logging.basicConfig(
-        stream=sys.stderr, level=LEVELS[level],
-        format="%(asctime)s %(levelname)s %(name)s: %(message)s")
+        stream=sys.stderr,
+        level=LEVELS[level],
+        format="%(asctime)s %(levelname)s %(name)s: %(message)s",
+    )
     logging.getLogger("asyncio").setLevel(logging.ERROR)
 
 
@@ -67,9 +69,15 @@
 def main(words: Sequence[str] | None = None) -> None:
     """``run.py --config FILE``, as the platform calls it; ``salthead serve`` does the same."""
     parser = argparse.ArgumentParser(
-        prog="run.py", description="Run one salthead controller until it is killed.")
-    parser.add_argument("--config", required=True, type=Path, metavar="FILE",
-                        help="the settings file (TOML) that the platform hands over")
+        prog="run.py", description="Run one salthead controller until it is killed."
+    )
+    parser.add_argument(
+        "--config",
+        required=True,
+        type=Path,
+        metavar="FILE",
+        help="the settings file (TOML) that the platform hands over",
+    )
     try:
         run_controller(parser.parse_args(words).config)
     except CannotServe as error:
--- a/src/salthead/service.py
+++ b/src/salthead/service.py
@@ -77,8 +77,9 @@
         self.joins = int(self.workers * self.JOIN_PART)
         # A peer that was cut off leaves as many half open as it opens anew.
         self.peers_in = 2 * self.PEER * peers if most else 0
-        own = (Store.SLOTS + self.CLOUD + self.PEER * peers + self.workers + self.peers_in
-               + self.SPARE)
+        own = (
+            Store.SLOTS + self.CLOUD + self.PEER * peers + self.workers + self.peers_in + self.SPARE
+        )
         self.clients = max(self.SPARE, most - own) if most else 0
 
 
@@ -92,7 +93,9 @@
 
 class Node:
     def __init__(
-        self, settings: Settings, rng: random.Random | None = None,
+        self,
+        settings: Settings,
+        rng: random.Random | None = None,
         now: Callable[[], float] = time.monotonic,
         dial: Callable[[str, int], Caller] = Caller,
     ) -> None:
@@ -104,7 +107,8 @@
         # The limits of the state service that all requests keep to.
         self.kept = self.limits.state.kept()
         self.store = Store(
-            settings.endpoints.state, self.kept.rps, self.kept.write_rps, self.now, dial)
+            settings.endpoints.state, self.kept.rps, self.kept.write_rps, self.now, dial
+        )
         self.sockets = Sockets(self.limits.quota.max_connections, len(settings.seeds))
         self.cloud = dial(settings.endpoints.cloud, Sockets.CLOUD)
         self.peers = {seed.member: dial(seed.endpoint, Sockets.PEER) for seed in settings.seeds}
@@ -115,7 +119,8 @@
         self.keeper = Keeper(lease.leader_ttl(self.limits.workers.lease_s))
         self.term: Term | None = None
         self.abstention = lease.Abstention(
-            lease.leader_ttl(self.limits.workers.lease_s), self.now())
+            lease.leader_ttl(self.limits.workers.lease_s), self.now()
+        )
         # Outcomes never change: phase, tasks, and when that was if it is known.
         self.finals: OrderedDict[str, tuple[str, int, float | None]] = OrderedDict()
         # Jobs that were accepted, and what they await: that never changes either.
@@ -184,7 +189,8 @@
                 await self.store.get(records.LEAD, timeout=REACH_S, urgent=True)
             except (Refused, Unanswered):
                 await asyncio.gather(
-                    *(self.reach(peer) for peer in self.peers.values()), return_exceptions=True)
+                    *(self.reach(peer) for peer in self.peers.values()), return_exceptions=True
+                )
 
     async def reach(self, peer: Caller) -> None:
         answer = await peer.call("POST", names.PEER_KNOCKS, timeout=REACH_S)
@@ -199,8 +205,9 @@
     def refused_alone(self) -> bool:
         """Whether the state service serves others, but not this node: it can take no job."""
         now = self.now()
-        return (now - self.store.answered > 2.0 * REACH_S
-                and now - self.others_served < 4.0 * REACH_S)
+        return (
+            now - self.store.answered > 2.0 * REACH_S and now - self.others_served < 4.0 * REACH_S
+        )
 
     async def keep_loop(self) -> None:
         """Behind a cut from the leader, with the state service in reach: keep workers' leases."""
@@ -222,7 +229,8 @@
             try:
                 if missed >= 2:
                     wish = self.keeper.ask(
-                        self.leader_token, uuid.uuid4().hex[:12], self.settings.area, self.now())
+                        self.leader_token, uuid.uuid4().hex[:12], self.settings.area, self.now()
+                    )
                     written = True
                     await self.store.txn({}, [put(key, wish)], urgent=True)
                     for _ in range(4):
@@ -345,14 +353,19 @@
                     await self.rest(0.2)
                     continue
                 tried = uuid.uuid4().hex[:12]
-                value = {"member": self.settings.member, "run": self.run_id, "token": token,
-                         "nonce": tried}
+                value = {
+                    "member": self.settings.member,
+                    "run": self.run_id,
+                    "token": token,
+                    "nonce": tried,
+                }
                 self.abstention.in_doubt = True
                 try:
                     await self.store.txn(
                         {records.LEAD: stamp, records.TOKEN: token_row[1] if token_row else 0},
                         [put(records.LEAD, value, tether), put(records.TOKEN, {"n": token})],
-                        urgent=True)
+                        urgent=True,
+                    )
                     self.abstention.in_doubt = False
                 except (Conflict, Refused, NoLease):
                     self.abstention.in_doubt = False
@@ -437,7 +450,9 @@
         if not self.flavors:
             raise Later("machine types not known yet")
         if not any(
-            job.vcpus <= f.vcpus and job.accelerators <= f.accelerators and job.ram_gb <= f.ram_gb
+            job.vcpus <= f.vcpus
+            and job.accelerators <= f.accelerators
+            and job.ram_gb <= f.ram_gb
             and (job.builds is None or f.name in job.builds)
             and (job.paddock is None or job.paddock in f.paddocks)
             for f in self.flavors.values()
@@ -447,7 +462,9 @@
             job.builds = sorted({name for name in job.builds if name in self.flavors})
 
     async def submit(
-        self, job: Submission, passed_on: bool = False,
+        self,
+        job: Submission,
+        passed_on: bool = False,
     ) -> tuple[int, dict[str, Any]]:
         """POST /work: status and body, or one of the errors that mean 4xx or 503."""
         if self.overloaded():
@@ -464,7 +481,8 @@
         for peer in self.peers.values() if self.refused_alone() else ():
             try:
                 answer = await peer.call(
-                    "POST", names.PEER_SUBMIT, msgspec.to_builtins(job), timeout=0.8)
+                    "POST", names.PEER_SUBMIT, msgspec.to_builtins(job), timeout=0.8
+                )
             except Unanswered as error:
                 self.note("pass on", error)
                 continue
@@ -473,7 +491,9 @@
         raise Later("the state service does not answer")
 
     async def accept(
-        self, job: Submission, passed_on: bool,
+        self,
+        job: Submission,
+        passed_on: bool,
     ) -> tuple[int, dict[str, Any]]:
         known = self.finals.get(job.uid)
         if known is not None:
@@ -503,12 +523,17 @@
             raise reject
         if doomed:
             # What it needs was cancelled, so its outcome is known before it is written.
-            rows = [(records.over_key(job.uid), records.over_value(
-                job, names.ABORTED, job.at, self.kept.value_kb))]
+            rows = [
+                (
+                    records.over_key(job.uid),
+                    records.over_value(job, names.ABORTED, job.at, self.kept.value_kb),
+                )
+            ]
         try:
             await self.store.txn(
                 {records.job_key(job.uid): 0, records.over_key(job.uid): 0},
-                [put(key, value) for key, value in rows])
+                [put(key, value) for key, value in rows],
+            )
         except (Refused, Unanswered):
             if passed_on:
                 raise
@@ -548,7 +573,10 @@
         return msgspec.structs.replace(spec, awaits=awaits or None)
 
     async def cut_short(
-        self, awaits: list[str], end: float = math.inf, every: bool = False,
+        self,
+        awaits: list[str],
+        end: float = math.inf,
+        every: bool = False,
     ) -> bool:
         """Whether one of these jobs, or any that they need, was cancelled.
 
@@ -574,9 +602,11 @@
             term = self.leading()
             if uid in self.finals:
                 found = self.finals[uid][0]
-            elif term is not None and uid not in term.outcomes.in_doubt and (
-                job := term.ledger.jobs.get(uid)
-            ) is not None:
+            elif (
+                term is not None
+                and uid not in term.outcomes.in_doubt
+                and (job := term.ledger.jobs.get(uid)) is not None
+            ):
                 found = job.over or (names.ABORTED if job.doomed else None)
                 self.remember(job.spec)
             else:
@@ -623,7 +653,8 @@
     def told(self, term: Term, uid: str) -> dict[str, Any]:
         ledger = term.ledger
         return status_body(
-            uid, *ledger.phase_of(ledger.jobs[uid]), awaits=ledger.awaited_by(uid, AWAITS_TOLD))
+            uid, *ledger.phase_of(ledger.jobs[uid]), awaits=ledger.awaited_by(uid, AWAITS_TOLD)
+        )
 
     async def read(self, uid: str) -> dict[str, Any] | None:
         """A job's state by a consistent read; None when it was never accepted."""
@@ -644,8 +675,10 @@
 
     async def poll_here(self, term: Term, uid: str) -> dict[str, Any] | None:
         job = term.ledger.jobs.get(uid) if term.ledger.loaded else None
-        if job is None or term.outcomes.doubtful(job) or (
-            job.awaiting and term.ledger.pipelines.is_unsure(uid)
+        if (
+            job is None
+            or term.outcomes.doubtful(job)
+            or (job.awaiting and term.ledger.pipelines.is_unsure(uid))
         ):
             return await self.read(uid)
         return self.told(term, uid)
--- a/src/salthead/settings.py
+++ b/src/salthead/settings.py
@@ -71,9 +71,11 @@
         """
         if self.next is None:
             return self
-        both = {name: min(getattr(self, name), value)
-                for name in ("rps", "write_rps", "value_kb", "txn_ops")
-                if (value := getattr(self.next, name)) is not None}
+        both = {
+            name: min(getattr(self, name), value)
+            for name in ("rps", "write_rps", "value_kb", "txn_ops")
+            if (value := getattr(self.next, name)) is not None
+        }
         return msgspec.structs.replace(self, next=None, **both)
 
 
@@ -144,8 +146,11 @@
     limits = found.settings
     if not limits.zones:
         raise SettingsError("settings.zones: at least one zone is needed")
-    groups = {"settings.workers": limits.workers, "settings.state": limits.state,
-              "settings.cloud": limits.cloud}
+    groups = {
+        "settings.workers": limits.workers,
+        "settings.state": limits.state,
+        "settings.cloud": limits.cloud,
+    }
     for path, names in POSITIVE.items():
         for name in names:
             if not getattr(groups[path], name) > 0:
--- a/src/salthead/term.py
+++ b/src/salthead/term.py
@@ -57,7 +57,12 @@
 
 class Term:
     def __init__(
-        self, node: Node, token: int, stamp: int, tether: int, clock: LeaseClock,
+        self,
+        node: Node,
+        token: int,
+        stamp: int,
+        tether: int,
+        clock: LeaseClock,
     ) -> None:
         self.node = node
         self.store = node.store
@@ -101,8 +106,12 @@
     async def run(self) -> None:
         """Until the lease has ended; then nothing of this term goes on."""
         tasks = [
-            asyncio.create_task(loop) for loop in (
-                self.renew_loop(), self.work_loop(), self.promise_loop(), self.resign_loop(),
+            asyncio.create_task(loop)
+            for loop in (
+                self.renew_loop(),
+                self.work_loop(),
+                self.promise_loop(),
+                self.resign_loop(),
             )
         ]
         try:
@@ -126,10 +135,19 @@
                 self.node.note("load", error)
                 await self.node.rest(0.3)
         self.spawn(self.join_all(self.ledger.unheard()))
-        loops = [self.feed.watch_loop(), self.feed.await_loop(), self.decide_loop(),
-                 self.outcomes.loop(), self.save_loop(), self.roster_loop(),
-                 self.rental.list_loop(), self.rental.fleet_loop(), self.stranger_loop(),
-                 self.deaf_loop(), self.keep_loop()]
+        loops = [
+            self.feed.watch_loop(),
+            self.feed.await_loop(),
+            self.decide_loop(),
+            self.outcomes.loop(),
+            self.save_loop(),
+            self.roster_loop(),
+            self.rental.list_loop(),
+            self.rental.fleet_loop(),
+            self.stranger_loop(),
+            self.deaf_loop(),
+            self.keep_loop(),
+        ]
         async with asyncio.TaskGroup() as group:
             for loop in loops:
                 group.create_task(loop)
@@ -169,12 +187,15 @@
                 continue
             sent = self.now()
             given = await asyncio.gather(
-                *(self.ask_promise(peer, every * 2) for peer in peers.values()))
+                *(self.ask_promise(peer, every * 2) for peer in peers.values())
+            )
             counts = all(given) and self.clock.promised_by_all(sent, self.now())
             if counts != self.promised:
                 self.promised = counts
-                log.info("state service lost; %s by all peers",
-                         "promised the lead" if counts else "not promised the lead")
+                log.info(
+                    "state service lost; %s by all peers",
+                    "promised the lead" if counts else "not promised the lead",
+                )
 
     async def resign_loop(self) -> None:
         """Give the lead up when the workers reach another node, but not this one.
@@ -189,10 +210,15 @@
             if silent <= heard or now - self.ledger.took_over < grace_s + 1.0:
                 continue
             knocks = await asyncio.gather(
-                *(self.ask_knocks(peer) for peer in self.node.peers.values()))
+                *(self.ask_knocks(peer) for peer in self.node.peers.values())
+            )
             if max(knocks, default=0) > heard:
-                log.warning("resigning: %d of %d workers heard, %d knock elsewhere",
-                            heard, heard + silent, max(knocks))
+                log.warning(
+                    "resigning: %d of %d workers heard, %d knock elsewhere",
+                    heard,
+                    heard + silent,
+                    max(knocks),
+                )
                 # Longer than an election, so that a node that hears the workers wins it.
                 self.node.abstention.promise(self.now())
                 return
@@ -208,13 +234,17 @@
     async def ask_promise(self, peer: Caller, timeout: float) -> bool:
         try:
             answer = await peer.call(
-                "POST", names.PEER_PROMISE, {"member": self.node.settings.member}, timeout=timeout)
+                "POST", names.PEER_PROMISE, {"member": self.node.settings.member}, timeout=timeout
+            )
         except Unanswered:
             return False
         return answer.status == 200 and answer.body.get("promise") is True
 
     async def txn(
-        self, when: dict[str, int], apply: list[dict[str, Any]], bulk: bool = False,
+        self,
+        when: dict[str, int],
+        apply: list[dict[str, Any]],
+        bulk: bool = False,
         urgent: bool = False,
     ) -> int:
         """A write that only takes effect while this term leads."""
@@ -222,7 +252,8 @@
             raise Unanswered("lease not certain")
         try:
             return await self.store.txn(
-                {records.LEAD: self.stamp} | when, apply, bulk=bulk, urgent=urgent)
+                {records.LEAD: self.stamp} | when, apply, bulk=bulk, urgent=urgent
+            )
         except Conflict as error:
             if records.LEAD in error.failed:
                 self.ledger.deposed_by = max(self.ledger.deposed_by, self.token + 1)
@@ -254,8 +285,11 @@
         # Counted before it is allowed, so that whatever becomes of the write errs late.
         until = counted_until(self.now(), self.clock.ttl)
         if self.ledger.keep_zone(str(value.get("area")), until):
-            await self.txn({}, [put(records.KEPT + member, {
-                "token": self.token, "nonce": value.get("nonce")})], urgent=True)
+            await self.txn(
+                {},
+                [put(records.KEPT + member, {"token": self.token, "nonce": value.get("nonce")})],
+                urgent=True,
+            )
 
     async def stranger_loop(self) -> None:
         """Stray tasks of jobs that are over: whose quota do they use?"""
@@ -301,8 +335,12 @@
                 return
             try:
                 answer = await self.node.workers.call(
-                    "POST", names.DO, {"baton": self.token, "tenure": tenure, "orders": []},
-                    timeout=timeout, endpoint=machine.endpoint)
+                    "POST",
+                    names.DO,
+                    {"baton": self.token, "tenure": tenure, "orders": []},
+                    timeout=timeout,
+                    endpoint=machine.endpoint,
+                )
                 report = shape(answer.body, Report)
             except TROUBLES as error:
                 self.node.note("join", error)
@@ -326,7 +364,8 @@
         body = {"baton": self.token, "tenure": machine.tenure, "orders": []}
         with contextlib.suppress(Unanswered):
             answer = await self.node.workers.call(
-                "POST", names.DO, body, timeout=2.0, endpoint=machine.endpoint)
+                "POST", names.DO, body, timeout=2.0, endpoint=machine.endpoint
+            )
             if answer.status in (200, 409):
                 self.ledger.heard_us(machine, self.now())
 
@@ -361,12 +400,15 @@
             machine = binding.machine
             if binding.stop is None or binding.stop_sent or not binding.phase:
                 continue  # what no report shows yet is stopped by the answer to one that does
-            if machine.joined and machine.endpoint and (
-                binding.phase != names.FLUSHING or binding.stop == 0.0
+            if (
+                machine.joined
+                and machine.endpoint
+                and (binding.phase != names.FLUSHING or binding.stop == 0.0)
             ):
                 binding.stop_sent = True
                 orders.setdefault(machine, []).append(
-                    stop_order(binding.piece, binding.attempt, binding.stop))
+                    stop_order(binding.piece, binding.attempt, binding.stop)
+                )
         for machine, stops in orders.items():
             self.spawn(self.send(machine, stops[:MAX_ORDERS]))
 
@@ -374,7 +416,8 @@
         body = {"baton": self.token, "tenure": machine.tenure, "orders": orders}
         try:
             await self.node.workers.call(
-                "POST", names.DO, body, timeout=2.0, endpoint=machine.endpoint)
+                "POST", names.DO, body, timeout=2.0, endpoint=machine.endpoint
+            )
         except Unanswered as error:
             self.node.note("direct stop", error)
 
@@ -458,7 +501,9 @@
             with contextlib.suppress(Conflict):
                 await self.txn(
                     {records.job_key(self.leftovers[key]): 0 for key in keys},
-                    [drop(key) for key in keys], bulk=True)
+                    [drop(key) for key in keys],
+                    bulk=True,
+                )
             for key in keys:
                 del self.leftovers[key]
 
@@ -469,8 +514,12 @@
             try:
                 epoch = await self.txn(
                     {pages.key(page): pages.stamps.get(page, 0) for page in batch},
-                    [put(pages.key(page), content) if content else drop(pages.key(page))
-                     for page, (_, content) in batch.items()], bulk=True)
+                    [
+                        put(pages.key(page), content) if content else drop(pages.key(page))
+                        for page, (_, content) in batch.items()
+                    ],
+                    bulk=True,
+                )
             except Conflict:
                 # An earlier try took effect after all; what it wrote is replaced.
                 for page in batch:
@@ -488,12 +537,21 @@
             ledger = self.ledger
             for machine in ledger.machines.values():
                 if not machine.rostered and (machine.phase == UP or machine.seen):
-                    self.roster.set(machine.name, [
-                        ledger.builds[machine.build], ledger.zones[machine.zone],
-                        machine.borrowed, machine.endpoint])
+                    self.roster.set(
+                        machine.name,
+                        [
+                            ledger.builds[machine.build],
+                            ledger.zones[machine.zone],
+                            machine.borrowed,
+                            machine.endpoint,
+                        ],
+                    )
             # Those that are gone wait for the next one to come, or for a while.
-            fresh = any(name in ledger.machines and not ledger.machines[name].rostered
-                        for page in self.roster.dirty for name in self.roster.pages[page])
+            fresh = any(
+                name in ledger.machines and not ledger.machines[name].rostered
+                for page in self.roster.dirty
+                for name in self.roster.pages[page]
+            )
             if fresh or (self.roster.dirty and self.now() >= self.roster_at):
                 try:
                     batch = await self.write_pages(self.roster)
--- a/src/salthead/transport/client.py
+++ b/src/salthead/transport/client.py
@@ -50,7 +50,9 @@
         self.stays = False
 
     def headers_received(
-        self, start_line: RequestStartLine | ResponseStartLine, headers: HTTPHeaders,
+        self,
+        start_line: RequestStartLine | ResponseStartLine,
+        headers: HTTPHeaders,
     ) -> None:
         assert isinstance(start_line, ResponseStartLine)
         self.status = start_line.code
@@ -77,8 +79,13 @@
         self.idle: list[tuple[IOStream, float]] = []
 
     async def call(
-        self, method: str, path: str, body: Any = None, timeout: float = 2.0,
-        query: dict[str, Any] | None = None, endpoint: str = "",
+        self,
+        method: str,
+        path: str,
+        body: Any = None,
+        timeout: float = 2.0,
+        query: dict[str, Any] | None = None,
+        endpoint: str = "",
     ) -> Answer:
         if query:
             path += "?" + "&".join(f"{k}={quote(str(v), safe='/')}" for k, v in query.items())
@@ -100,7 +107,11 @@
         return Answer(found.status, answer)
 
     async def _exchange(
-        self, endpoint: str, method: str, path: str, payload: bytes,
+        self,
+        endpoint: str,
+        method: str,
+        path: str,
+        payload: bytes,
     ) -> _Response:
         stream = await self._stream(endpoint)
         found = _Response()
--- a/src/salthead/transport/server.py
+++ b/src/salthead/transport/server.py
@@ -102,7 +102,8 @@
     async def post(self) -> None:
         try:
             status, body = await self.node.submit(
-                decode_submission(self.request.body, self.passed_on), self.passed_on)
+                decode_submission(self.request.body, self.passed_on), self.passed_on
+            )
         except Malformed as error:
             log.info("submission refused: %s", error)
             status, body = 400, {"error": str(error)[:200]}
@@ -144,7 +145,11 @@
     TYPES = {"Content-Type": "application/cbor"}
 
     def __init__(
-        self, node: Node, connection: HTTPConnection, who: str, server: BoundServer | None,
+        self,
+        node: Node,
+        connection: HTTPConnection,
+        who: str,
+        server: BoundServer | None,
         stream: IOStream | None,
     ) -> None:
         self.node, self.connection, self.who = node, connection, who
@@ -161,7 +166,8 @@
             report = decode_report(b"".join(self.chunks))
             if self.server is not None and self.stream is not None:
                 self.server.open.reported(
-                    report.saltlick, (report.tenure, report.tally), self.stream)
+                    report.saltlick, (report.tenure, report.tally), self.stream
+                )
             status, body = node.on_report(report, self.who)
         except Malformed as error:
             node.note("report", error)
@@ -175,7 +181,8 @@
         if status == 503:
             headers["Retry-After"] = "1"
         self.connection.write_headers(
-            ResponseStartLine("", status, responses.get(status, "Unknown")), headers, payload)
+            ResponseStartLine("", status, responses.get(status, "Unknown")), headers, payload
+        )
         self.connection.finish()
         metrics.answered("report", status, node.now() - self.began)
 
@@ -191,7 +198,9 @@
         self.server: BoundServer | None = None
 
     def start_request(
-        self, server_conn: object, request_conn: HTTPConnection,
+        self,
+        server_conn: object,
+        request_conn: HTTPConnection,
     ) -> HTTPMessageDelegate:
         stream = getattr(server_conn, "stream", None)
         return AtDoor(self, server_conn, request_conn, stream)
@@ -204,7 +213,10 @@
     """A request of which only the connection is known yet."""
 
     def __init__(
-        self, door: Door, server_conn: object, connection: HTTPConnection,
+        self,
+        door: Door,
+        server_conn: object,
+        connection: HTTPConnection,
         stream: IOStream | None,
     ) -> None:
         self.door, self.server_conn, self.connection = door, server_conn, connection
@@ -212,7 +224,9 @@
         self.inner: HTTPMessageDelegate | None = None
 
     def headers_received(
-        self, start_line: RequestStartLine | ResponseStartLine, headers: HTTPHeaders,
+        self,
+        start_line: RequestStartLine | ResponseStartLine,
+        headers: HTTPHeaders,
     ) -> Awaitable[None] | None:
         server = self.door.server
         if server is not None and self.stream is not None:
@@ -221,8 +235,13 @@
             start_line.path == names.HELLO and start_line.method == "POST"
         ):
             context = getattr(self.connection, "context", None)
-            self.inner = Hello(self.door.node, self.connection, str(
-                getattr(context, "remote_ip", "")), server, self.stream)
+            self.inner = Hello(
+                self.door.node,
+                self.connection,
+                str(getattr(context, "remote_ip", "")),
+                server,
+                self.stream,
+            )
             return None
         self.inner = self.door.app.start_request(self.server_conn, self.connection)
         return self.inner.headers_received(start_line, headers)
@@ -335,30 +354,41 @@
 def _application(node: Node, routes: list[tuple[str, type[Base]]]) -> Application:
     return Application(
         [(path, handler, {"node": node}) for path, handler in routes],
-        default_handler_class=NoSuchPath, default_handler_args={"node": node},
-        log_function=quiet)
+        default_handler_class=NoSuchPath,
+        default_handler_args={"node": node},
+        log_function=quiet,
+    )
 
 
 def client_app(node: Node) -> Door:
-    return Door(node, _application(node, [
-        (names.UP, Up),
-        (names.WORK, Work),
-        (names.WORK + r"/([^/]+)/cancel", Cancel),
-        (names.WORK + r"/([^/]+)", Poll),
-        (names.OVERVIEW, Overview),
-        ("/metrics", Metrics),
-    ]))
+    return Door(
+        node,
+        _application(
+            node,
+            [
+                (names.UP, Up),
+                (names.WORK, Work),
+                (names.WORK + r"/([^/]+)/cancel", Cancel),
+                (names.WORK + r"/([^/]+)", Poll),
+                (names.OVERVIEW, Overview),
+                ("/metrics", Metrics),
+            ],
+        ),
+    )
 
 
 def cluster_app(node: Node) -> Application:
-    return _application(node, [
-        (names.PEER_SUBMIT, PeerSubmit),
-        (names.PEER_POLL, PeerPoll),
-        (names.PEER_CANCEL, PeerCancel),
-        (names.PEER_PROMISE, PeerPromise),
-        (names.PEER_KNOCKS, PeerKnocks),
-        (names.PEER_OVERVIEW, PeerOverview),
-    ])
+    return _application(
+        node,
+        [
+            (names.PEER_SUBMIT, PeerSubmit),
+            (names.PEER_POLL, PeerPoll),
+            (names.PEER_CANCEL, PeerCancel),
+            (names.PEER_PROMISE, PeerPromise),
+            (names.PEER_KNOCKS, PeerKnocks),
+            (names.PEER_OVERVIEW, PeerOverview),
+        ],
+    )
 
 
 class BoundServer(HTTPServer):
@@ -379,7 +409,10 @@
 
 
 def listen(
-    node: Node, app: HTTPServerConnectionDelegate, endpoint: str, most: int = 0,
+    node: Node,
+    app: HTTPServerConnectionDelegate,
+    endpoint: str,
+    most: int = 0,
 ) -> BoundServer:
     host, port = split_endpoint(endpoint)
     # A body and what follows it: all connections that the sockets allow, with their buffers full,
--- a/src/salthead/views.py
+++ b/src/salthead/views.py
@@ -34,32 +34,59 @@
         jobs = []
         for job in sorted(ledger.jobs.values(), key=lambda job: job.spec.at)[:OVERVIEW_ROWS]:
             phase, done, running = ledger.phase_of(job)
-            jobs.append({
-                "uid": job.uid, "crew": job.spec.crew, "breed": job.spec.breed,
-                "urgency": job.spec.urgency, "phase": phase, "waiting": job.waiting(),
-                "running": running, "done": done, "pieces": job.spec.pieces,
-                "awaits": ledger.awaited_by(job.uid, OVERVIEW_AWAITS)})
+            jobs.append(
+                {
+                    "uid": job.uid,
+                    "crew": job.spec.crew,
+                    "breed": job.spec.breed,
+                    "urgency": job.spec.urgency,
+                    "phase": phase,
+                    "waiting": job.waiting(),
+                    "running": running,
+                    "done": done,
+                    "pieces": job.spec.pieces,
+                    "awaits": ledger.awaited_by(job.uid, OVERVIEW_AWAITS),
+                }
+            )
         machines = []
         for machine in sorted(ledger.machines.values(), key=lambda m: m.name)[:OVERVIEW_ROWS]:
             notes = [
-                machine.condemned, "cordoned" if machine.cordoned else "",
+                machine.condemned,
+                "cordoned" if machine.cordoned else "",
                 f"kept for {machine.held_for}" if now < machine.held_until else "",
-                "is taken soon" if machine.warn_at is not None else ""]
-            machines.append({
-                "name": machine.name, "build": ledger.builds[machine.build],
-                "zone": ledger.zones[machine.zone],
-                "kind": "spot" if machine.borrowed else "ordinary", "phase": machine.phase,
-                "cpus": machine.cap[0], "used": round(machine.used[0], 3),
-                "note": ", ".join(note for note in notes if note)})
+                "is taken soon" if machine.warn_at is not None else "",
+            ]
+            machines.append(
+                {
+                    "name": machine.name,
+                    "build": ledger.builds[machine.build],
+                    "zone": ledger.zones[machine.zone],
+                    "kind": "spot" if machine.borrowed else "ordinary",
+                    "phase": machine.phase,
+                    "cpus": machine.cap[0],
+                    "used": round(machine.used[0], 3),
+                    "note": ", ".join(note for note in notes if note),
+                }
+            )
         teams = [
-            {"name": name, "cpus": round(ledger.usage[n][0], 3),
-             "guaranteed": ledger.guarantees[n][0], "most": ledger.caps[n][0]}
-            for n, name in enumerate(ledger.crews.names)]
+            {
+                "name": name,
+                "cpus": round(ledger.usage[n][0], 3),
+                "guaranteed": ledger.guarantees[n][0],
+                "most": ledger.caps[n][0],
+            }
+            for n, name in enumerate(ledger.crews.names)
+        ]
         return {
-            "leader": self.term.node.settings.member, "token": self.term.token,
+            "leader": self.term.node.settings.member,
+            "token": self.term.token,
             "ready": ledger.ready,
-            "teams": teams, "jobs": jobs, "jobs_total": len(ledger.jobs),
-            "machines": machines, "machines_total": len(ledger.machines)}
+            "teams": teams,
+            "jobs": jobs,
+            "jobs_total": len(ledger.jobs),
+            "machines": machines,
+            "machines_total": len(ledger.machines),
+        }
 
     def account(self, now: float) -> None:
         """Where the rented CPU-seconds go: the metric behind price and useful share."""
@@ -67,7 +94,8 @@
         for machine in self.ledger.machines.values():
             if machine.phase != UP:
                 self.spent[machine.phase] = (
-                    self.spent.get(machine.phase, 0.0) + machine.cap[0] * passed)
+                    self.spent.get(machine.phase, 0.0) + machine.cap[0] * passed
+                )
                 continue
             free = max(0.0, machine.cap[0] - machine.used[0])
             why = placement.unusable(self.ledger, machine, now)
@@ -95,11 +123,15 @@
             log.info(
                 "fleet %s; %.0f of %.0f CPUs booked, %d idle; %d jobs, %d tasks waiting, %d bound; "
                 "CPU-seconds spent: %s",
-                phases, sum(m.used[0] for m in machines), sum(m.cap[0] for m in machines),
-                sum(1 for m in machines if not m.busy()), len(self.ledger.jobs),
+                phases,
+                sum(m.used[0] for m in machines),
+                sum(m.cap[0] for m in machines),
+                sum(1 for m in machines if not m.busy()),
+                len(self.ledger.jobs),
                 sum(job.waiting() for job in self.ledger.live.values()),
                 sum(len(job.bindings) for job in self.ledger.jobs.values()),
-                ", ".join(f"{what} {amount:.0f}" for what, amount in self.spent.items()))
+                ", ".join(f"{what} {amount:.0f}" for what, amount in self.spent.items()),
+            )
         metrics.ACTIVE.set(len(self.ledger.jobs))
         metrics.AWAITING.set(sum(1 for job in self.ledger.jobs.values() if job.awaiting))
         metrics.WAITING.set(sum(job.waiting() for job in self.ledger.live.values()))
