--- a/src/salthead/metrics.py
+++ b/src/salthead/metrics.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from prometheus_client import CollectorRegistry, Counter, Gauge, Histogram
+from prometheus_client import CollectorRegistry, Counter, Gauge, Histogram, generate_latest
 
 REGISTRY = CollectorRegistry()
 LATENCY = Histogram(
@@ -36,3 +36,8 @@
         found = _SEEN[path, status] = ANSWERS.labels(path, str(status)), LATENCY.labels(path)
     found[0].inc()
     found[1].observe(seconds)
+
+
+def exposition() -> bytes:
+    """All metrics in the Prometheus text format."""
+    return generate_latest(REGISTRY)
--- a/src/salthead/protocol/names.py
+++ b/src/salthead/protocol/names.py
@@ -4,8 +4,11 @@
 WORK = "/work"
 UP = "/up"
 HELLO = "/hello"
-# path, operators
+# the last segment of a cancellation's path
+CANCEL = "cancel"
+# paths, operators
 OVERVIEW = "/overview"
+METRICS = "/metrics"
 # paths, workers
 DO = "/do"
 # paths, cloud
--- a/src/salthead/serve.py
+++ b/src/salthead/serve.py
@@ -46,7 +46,7 @@
     except SettingsError as error:
         raise CannotServe(str(error)) from None
     from salthead.service import Node
-    from salthead.transport.server import client_app, cluster_app, listen
+    from salthead.transport.server import listen_on_all
 
     # What is there now stays; and a ledger holds many objects that live long, none of them in
     # cycles, so that collecting as often as usual walks over all of them for nothing.
@@ -56,8 +56,7 @@
     async def work() -> None:
         node = Node(settings)
         try:
-            listen(node, client_app(node), settings.client_listen, node.sockets.clients)
-            listen(node, cluster_app(node), settings.cluster_listen, node.sockets.peers_in)
+            listen_on_all(node)
         except OSError as error:
             raise CannotServe(f"can't listen: {error}") from None
         logging.getLogger("salthead").info("%s started", settings.member)
--- a/src/salthead/service.py
+++ b/src/salthead/service.py
@@ -673,25 +673,34 @@
         phase, pieces, _ = found
         return status_body(uid, phase, pieces if phase == names.DONE else 0)
 
-    async def poll_here(self, term: Term, uid: str) -> dict[str, Any] | None:
+    def status_in_term(self, term: Term, uid: str) -> dict[str, Any] | None:
+        """A job's status as this node's term knows it; None where only a read can tell."""
         job = term.ledger.jobs.get(uid) if term.ledger.loaded else None
         if (
             job is None
             or term.outcomes.doubtful(job)
             or (job.awaiting and term.ledger.pipelines.is_unsure(uid))
         ):
-            return await self.read(uid)
+            return None
         return self.told(term, uid)
 
-    async def poll(self, uid: str) -> dict[str, Any] | None:
-        """GET /work/ID; None is 404."""
+    async def poll_here(self, term: Term, uid: str) -> dict[str, Any] | None:
+        """A job's status at the leader; None when it was never accepted."""
+        return self.status_in_term(term, uid) or await self.read(uid)
+
+    def status_in_memory(self, uid: str) -> dict[str, Any] | None:
+        """A job's status where this node can tell it without asking anybody, else None."""
         known = self.finals.get(uid)
         if known is not None:
             return status_body(uid, known[0], known[1] if known[0] == names.DONE else 0)
         term = self.leading()
-        if term is not None:
-            return await self.poll_here(term, uid)
-        found = await self.ask_leader(names.PEER_POLL, uid, 0.8)
+        return None if term is None else self.status_in_term(term, uid)
+
+    async def poll(self, uid: str) -> dict[str, Any] | None:
+        """GET /work/ID; None is 404."""
+        found = self.status_in_memory(uid)
+        if found is None and self.leading() is None:
+            found = await self.ask_leader(names.PEER_POLL, uid, 0.8)
         return found if found is not None else await self.read(uid)
 
     async def cancel(self, uid: str) -> dict[str, Any] | None:
--- /dev/null
+++ b/src/salthead/transport/handlers.py
@@ -0,0 +1,206 @@
+"""What the two HTTP interfaces of a node answer: users, workers and operators, and its peers."""
+
+from __future__ import annotations
+
+import logging
+from collections.abc import Awaitable, Callable
+from typing import Any
+
+from salthead import metrics
+from salthead.bookkeeping.store import Conflict, NoLease, Refused
+from salthead.protocol import names
+from salthead.protocol.messages import (
+    UID,
+    Malformed,
+    decode_map,
+    decode_report,
+    decode_submission,
+)
+from salthead.service import Later, Node, Rejected
+from salthead.term import Term
+from salthead.transport.client import Unanswered
+from salthead.transport.http import PrefixRoutes, Reply, Request, Route, Router
+
+log = logging.getLogger("salthead.handlers")
+
+# Errors that mean 503: the answer is not known now, and may be in a moment.
+UNDECIDED = (Later, Refused, Unanswered, NoLease, Conflict)
+ERROR_TEXT_MAX = 200
+METRICS_CONTENT_TYPE = "text/plain; version=0.0.4"
+
+StatusLookup = Callable[[str], Awaitable[dict[str, Any] | None]]
+
+
+def _error(status: int, reason: object) -> Reply:
+    return Reply(status, {"error": str(reason)[:ERROR_TEXT_MAX]})
+
+
+async def _job_reply(job_id: str, lookup: StatusLookup) -> Reply:
+    """The answer on a job that exists, is unknown, or can't be told now."""
+    if not UID.match(job_id):
+        return _error(404, "no such job")
+    try:
+        found = await lookup(job_id)
+    except UNDECIDED as error:
+        return _error(503, error)
+    return _error(404, "no such job") if found is None else Reply(200, found)
+
+
+async def _submit_reply(node: Node, request: Request, forwarded: bool) -> Reply:
+    try:
+        submission = decode_submission(request.body, forwarded)
+        return Reply(*await node.submit(submission, forwarded))
+    except Malformed as error:
+        log.info("submission refused: %s", error)
+        return _error(400, error)
+    except Rejected as error:
+        return _error(422, error)
+    except UNDECIDED as error:
+        return _error(503, error)
+
+
+class ClientHandlers:
+    """Requests of users, workers, operators and the load balancer."""
+
+    def __init__(self, node: Node) -> None:
+        self.node = node
+
+    def router(self) -> Router:
+        """The routes of the address that the platform names ``client_listen``."""
+        return Router(
+            self.node.now,
+            {
+                names.HELLO: Route("POST", "report", self.report),
+                names.UP: Route("GET", "up", self.up),
+                names.WORK: Route("POST", "submit", self.submit),
+                names.OVERVIEW: Route("GET", "overview", self.overview),
+                names.METRICS: Route("GET", "metrics", self.metrics),
+            },
+            PrefixRoutes(
+                names.WORK,
+                {
+                    "": Route("GET", "poll", self.poll),
+                    names.CANCEL: Route("POST", "cancel", self.cancel),
+                },
+            ),
+        )
+
+    def report(self, request: Request) -> Reply:
+        """POST /hello: a worker's report, answered with commands."""
+        try:
+            report = decode_report(request.body)
+        except Malformed as error:
+            self.node.note("report", error)
+            return _error(400, error)
+        if request.connections is not None and request.stream is not None:
+            request.connections.reported(
+                report.saltlick, (report.tenure, report.tally), request.stream
+            )
+        return Reply(*self.node.on_report(report, request.remote_ip))
+
+    def up(self, request: Request) -> Reply:
+        """GET /up: whether this node can take requests."""
+        if self.node.up():
+            return Reply(200, {"up": True})
+        return _error(503, "machine types not known, or cut off")
+
+    async def submit(self, request: Request) -> Reply:
+        """POST /work: a new job, or a repeated submission of one."""
+        return await _submit_reply(self.node, request, forwarded=False)
+
+    def poll(self, request: Request) -> Reply | Awaitable[Reply]:
+        """GET /work/ID: a job's status, from memory where that is certain."""
+        status = self.node.status_in_memory(request.parameter)
+        if status is not None:
+            return Reply(200, status)
+        return _job_reply(request.parameter, self.node.poll)
+
+    async def cancel(self, request: Request) -> Reply:
+        """POST /work/ID/cancel."""
+        return await _job_reply(request.parameter, self.node.cancel)
+
+    async def overview(self, request: Request) -> Reply:
+        """GET /overview: queue and fleet, for operators."""
+        try:
+            return Reply(200, await self.node.overview())
+        except UNDECIDED as error:
+            return _error(503, error)
+
+    def metrics(self, request: Request) -> Reply:
+        """GET /metrics, in the Prometheus text format."""
+        return Reply(200, metrics.exposition(), METRICS_CONTENT_TYPE)
+
+
+class PeerHandlers:
+    """Requests of the other controller nodes."""
+
+    def __init__(self, node: Node) -> None:
+        self.node = node
+
+    def router(self) -> Router:
+        """The routes of the address that the platform names ``cluster_listen``."""
+        return Router(
+            self.node.now,
+            {
+                names.PEER_SUBMIT: Route("POST", "peer submit", self.submit),
+                names.PEER_POLL: Route("POST", "peer poll", self.poll),
+                names.PEER_CANCEL: Route("POST", "peer cancel", self.cancel),
+                names.PEER_PROMISE: Route("POST", "peer promise", self.promise),
+                names.PEER_KNOCKS: Route("POST", "peer knocks", self.knocks),
+                names.PEER_OVERVIEW: Route("POST", "peer overview", self.overview),
+            },
+        )
+
+    async def submit(self, request: Request) -> Reply:
+        """A submission that another node can't write to the state service."""
+        return await _submit_reply(self.node, request, forwarded=True)
+
+    def poll(self, request: Request) -> Reply | Awaitable[Reply]:
+        """A poll that another node forwards to the leader."""
+        return self._as_leader(request, self._poll)
+
+    def cancel(self, request: Request) -> Reply | Awaitable[Reply]:
+        """A cancellation that another node forwards to the leader."""
+        return self._as_leader(request, self._cancel)
+
+    def _poll(self, term: Term, job_id: str) -> Reply | Awaitable[Reply]:
+        status = self.node.status_in_term(term, job_id)
+        if status is not None:
+            return Reply(200, status)
+        return _job_reply(job_id, self.node.read)
+
+    @staticmethod
+    def _cancel(term: Term, job_id: str) -> Awaitable[Reply]:
+        return _job_reply(job_id, term.cancel)
+
+    def _as_leader(
+        self, request: Request, act: Callable[[Term, str], Reply | Awaitable[Reply]]
+    ) -> Reply | Awaitable[Reply]:
+        try:
+            job_id = str(decode_map(request.body).get("uid"))
+        except Malformed as error:
+            return _error(400, error)
+        term = self.node.leading()
+        if term is None:
+            return _error(503, "not the leader")
+        return act(term, job_id)
+
+    async def promise(self, request: Request) -> Reply:
+        """Another node leads and lost the state service: whether this one will not stand."""
+        try:
+            member = str(decode_map(request.body).get("member"))
+        except Malformed as error:
+            return _error(400, error)
+        given = await self.node.promise(member)
+        return Reply(200 if given else 409, {"promise": given})
+
+    def knocks(self, request: Request) -> Reply:
+        """How many workers came here although another node leads."""
+        return Reply(200, self.node.knocks_body())
+
+    def overview(self, request: Request) -> Reply:
+        """The operators' view, forwarded to the leader."""
+        term = self.node.leading()
+        if term is None:
+            return _error(503, "not the leader")
+        return Reply(200, term.views.overview())
--- /dev/null
+++ b/src/salthead/transport/http.py
@@ -0,0 +1,199 @@
+"""Requests and replies on tornado's own connections, without an application around them.
+
+A request handler of ``tornado.web`` costs several times what most answers do, and its module takes
+a tenth of a controller's start; a controller with a small share of a core has neither to spare.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+from collections.abc import Awaitable, Callable, Mapping
+from dataclasses import dataclass
+from http import HTTPStatus
+from typing import Any
+from urllib.parse import unquote
+
+from tornado.httputil import (
+    HTTPConnection,
+    HTTPHeaders,
+    HTTPMessageDelegate,
+    HTTPServerConnectionDelegate,
+    RequestStartLine,
+    ResponseStartLine,
+)
+from tornado.iostream import IOStream
+
+from salthead import metrics
+from salthead.protocol.messages import encode_plain
+from salthead.transport.connections import Connections
+
+log = logging.getLogger("salthead.http")
+
+CBOR = "application/cbor"
+RETRY_AFTER_S = "1"
+RETRY_STATUSES = frozenset({HTTPStatus.TOO_MANY_REQUESTS, HTTPStatus.SERVICE_UNAVAILABLE})
+REASONS = {int(status): status.phrase for status in HTTPStatus}
+
+
+@dataclass(frozen=True, slots=True)
+class Request:
+    """What a handler is given of one request."""
+
+    parameter: str  # the variable part of the path, such as a job's id
+    body: bytes
+    remote_ip: str
+    stream: IOStream | None
+    connections: Connections | None
+
+
+@dataclass(frozen=True, slots=True)
+class Reply:
+    """A handler's answer: a map is sent as CBOR, bytes as they are."""
+
+    status: int
+    body: dict[str, Any] | bytes
+    content_type: str = CBOR
+
+
+Handler = Callable[[Request], Reply | Awaitable[Reply]]
+
+
+@dataclass(frozen=True, slots=True)
+class Route:
+    """One method of one path, and the name by which metrics count its answers."""
+
+    method: str
+    label: str
+    handler: Handler
+
+
+@dataclass(frozen=True, slots=True)
+class PrefixRoutes:
+    """Routes with a variable segment: ``/prefix/VALUE`` and ``/prefix/VALUE/SUFFIX``."""
+
+    prefix: str
+    by_suffix: Mapping[str, Route]
+
+    def find(self, path: str) -> tuple[Route | None, str]:
+        """The route of a path below the prefix, and the value of its variable segment."""
+        value, _, suffix = path.removeprefix(self.prefix + "/").partition("/")
+        if not value or not path.startswith(self.prefix + "/"):
+            return None, ""
+        return self.by_suffix.get(suffix), unquote(value)
+
+
+class Router(HTTPServerConnectionDelegate):
+    """Finds the handler of each request that comes in on a server's connections."""
+
+    def __init__(
+        self,
+        clock: Callable[[], float],
+        routes: Mapping[str, Route],
+        prefix_routes: PrefixRoutes | None = None,
+    ) -> None:
+        self.clock = clock
+        self.routes = routes
+        self.prefix_routes = prefix_routes
+        self.connections: Connections | None = None  # set by the server that uses this router
+        self.in_progress: set[asyncio.Task[None]] = set()
+
+    def start_request(
+        self, server_conn: object, request_conn: HTTPConnection
+    ) -> HTTPMessageDelegate:
+        """Tornado's hook: a request begins on a connection."""
+        stream = getattr(server_conn, "stream", None)
+        return _RequestDelegate(self, request_conn, stream)
+
+    def on_close(self, server_conn: object) -> None:
+        """Tornado's hook: a connection has ended. Nothing is kept for one here."""
+
+    def find(self, path: str) -> tuple[Route | None, str]:
+        """The route of a path without its query, and the value of its variable segment."""
+        route = self.routes.get(path)
+        if route is not None or self.prefix_routes is None:
+            return route, ""
+        return self.prefix_routes.find(path)
+
+
+class _RequestDelegate(HTTPMessageDelegate):
+    """Collects one request, lets its handler answer, and writes the reply."""
+
+    def __init__(self, router: Router, connection: HTTPConnection, stream: IOStream | None) -> None:
+        self.router = router
+        self.connection = connection
+        self.stream = stream
+        self.began = router.clock()
+        self.chunks: list[bytes] = []
+        self.method = ""
+        self.path = ""
+
+    def headers_received(
+        self,
+        start_line: RequestStartLine | ResponseStartLine,
+        headers: HTTPHeaders,
+    ) -> Awaitable[None] | None:
+        assert isinstance(start_line, RequestStartLine)
+        self.method = start_line.method
+        self.path = start_line.path.partition("?")[0]
+        if self.router.connections is not None and self.stream is not None:
+            self.router.connections.used(self.stream)
+        return None
+
+    def data_received(self, chunk: bytes) -> Awaitable[None] | None:
+        self.chunks.append(chunk)
+        return None
+
+    def on_connection_close(self) -> None:
+        self.chunks.clear()
+
+    def finish(self) -> None:
+        """The request is complete: answer it, at once where its handler waits for nothing."""
+        route, parameter = self.router.find(self.path)
+        if route is None:
+            self._write("other", Reply(404, {"error": "no such path"}))
+            return
+        if route.method != self.method:
+            self._write(route.label, Reply(405, {"error": "bad request"}))
+            return
+        context = getattr(self.connection, "context", None)
+        request = Request(
+            parameter=parameter,
+            body=b"".join(self.chunks),
+            remote_ip=str(getattr(context, "remote_ip", "")),
+            stream=self.stream,
+            connections=self.router.connections,
+        )
+        try:
+            reply = route.handler(request)
+        except Exception:
+            reply = self._internal_error(route)
+        if isinstance(reply, Reply):
+            self._write(route.label, reply)
+            return
+        task = asyncio.ensure_future(self._write_later(route, reply))
+        self.router.in_progress.add(task)
+        task.add_done_callback(self.router.in_progress.discard)
+
+    async def _write_later(self, route: Route, pending: Awaitable[Reply]) -> None:
+        try:
+            reply = await pending
+        except Exception:
+            reply = self._internal_error(route)
+        self._write(route.label, reply)
+
+    @staticmethod
+    def _internal_error(route: Route) -> Reply:
+        log.exception("request failed: %s", route.label)
+        return Reply(500, {"error": "internal"})
+
+    def _write(self, label: str, reply: Reply) -> None:
+        payload = reply.body if isinstance(reply.body, bytes) else encode_plain(reply.body)
+        headers = HTTPHeaders({"Content-Type": reply.content_type})
+        headers["Content-Length"] = str(len(payload))
+        if reply.status in RETRY_STATUSES:
+            headers["Retry-After"] = RETRY_AFTER_S
+        start_line = ResponseStartLine("", reply.status, REASONS.get(reply.status, "Unknown"))
+        self.connection.write_headers(start_line, headers, payload)
+        self.connection.finish()
+        metrics.answered(label, reply.status, self.router.clock() - self.began)
--- a/tools/profile_costs.py
+++ b/tools/profile_costs.py
@@ -38,7 +38,8 @@
 from salthead.protocol.messages import Report, encode  # noqa: E402
 from salthead.service import Node  # noqa: E402
 from salthead.term import Term  # noqa: E402
-from salthead.transport.server import client_app, cluster_app, listen  # noqa: E402
+from salthead.transport.handlers import ClientHandlers, PeerHandlers  # noqa: E402
+from salthead.transport.server import listen  # noqa: E402
 
 TOKEN = 7
 LEASE_S = 1e9  # of the profiled term, which no state service renews
@@ -168,8 +169,8 @@
         fill(self.ledger, machines, self.leader.now())
         self.leader.term, self.leader.leader = self.term, "n0"
         for node, first in ((self.leader, 0), (self.follower, 2)):
-            listen(node, client_app(node), self.endpoints[first])
-            listen(node, cluster_app(node), self.endpoints[first + 1])
+            listen(node, ClientHandlers(node).router(), self.endpoints[first])
+            listen(node, PeerHandlers(node).router(), self.endpoints[first + 1])
 
     @staticmethod
     def _node(member: str, other: str, other_endpoint: str) -> Node:
