--- a/src/salthead/bookkeeping/records.py
+++ b/src/salthead/bookkeeping/records.py
@@ -35,17 +35,17 @@
 ROSTER = "roster/"
 
 
-def job_key(uid: str) -> str:
-    return JOBS + uid
+def job_key(job_id: str) -> str:
+    return JOBS + job_id
 
 
-def over_key(uid: str) -> str:
-    return OVER + uid
+def over_key(job_id: str) -> str:
+    return OVER + job_id
 
 
 def part_from(name: str) -> tuple[str, int]:
-    uid, _, part = name.rpartition("/")
-    return uid, int(part)
+    job_id, _, part = name.rpartition("/")
+    return job_id, int(part)
 
 
 def job_value(spec: Submission) -> dict[str, Any]:
@@ -66,13 +66,13 @@
     return len(json.dumps(value)) <= kb * 1024
 
 
-def awaits_key(uid: str, n: int) -> str:
-    return f"{AWAITS}{uid}/{n}"
+def awaits_key(job_id: str, n: int) -> str:
+    return f"{AWAITS}{job_id}/{n}"
 
 
 def awaits_from(value: Any) -> list[str]:
     found = value.get("awaits") if type(value) is dict else None
-    if type(found) is not list or not all(type(uid) is str for uid in found):
+    if type(found) is not list or not all(type(job_id) is str for job_id in found):
         raise Malformed("continued list of awaited jobs")
     return found
 
@@ -82,27 +82,27 @@
 
     A job that awaits more others than one value holds is continued in further ones.
     """
-    bare = msgspec.structs.replace(spec, awaits=None, more=0)
+    bare = msgspec.structs.replace(spec, depends_on=None, more=0)
     if not fits(over_value(bare, "aborted", 1e10, kb=0.0), kb):
         raise TooLong("the names are too long to be kept")
-    awaits, most = spec.awaits or [], int(kb * 1024)
+    depends_on, most = spec.depends_on or [], int(kb * 1024)
     used = len(json.dumps(job_value(bare))) + len(', "awaits": [], "more": 999')
     lists: list[list[str]] = [[]]
-    for uid in awaits:
-        size = len(json.dumps(uid)) + 2
+    for job_id in depends_on:
+        size = len(json.dumps(job_id)) + 2
         if used + size > most:
             lists.append([])
             used = len('{"awaits": []}')
-        lists[-1].append(uid)
+        lists[-1].append(job_id)
         used += size
     if len(lists) > ops:
         raise TooLong(
-            f"awaits: {len(awaits)} jobs need {len(lists)} values of {kb:g} KiB, "
+            f"awaits: {len(depends_on)} jobs need {len(lists)} values of {kb:g} KiB, "
             f"and a transaction has {ops}"
         )
-    head = msgspec.structs.replace(spec, awaits=lists[0] or None, more=len(lists) - 1)
-    return [(job_key(spec.uid), job_value(head))] + [
-        (awaits_key(spec.uid, n), {"awaits": one}) for n, one in enumerate(lists[1:])
+    head = msgspec.structs.replace(spec, depends_on=lists[0] or None, more=len(lists) - 1)
+    return [(job_key(spec.job_id), job_value(head))] + [
+        (awaits_key(spec.job_id, n), {"awaits": one}) for n, one in enumerate(lists[1:])
     ]
 
 
@@ -116,13 +116,13 @@
 
     A job that was accepted while values were larger loses what nobody reads again.
     """
-    bare = msgspec.structs.replace(spec, awaits=None, more=0)
+    bare = msgspec.structs.replace(spec, depends_on=None, more=0)
     value: dict[str, Any] = {"phase": phase, "spec": job_value(bare)}
     if at:
         value["at"] = at
     if kb and not fits(value, kb):
         small = msgspec.structs.replace(
-            bare, breed=spec.breed[:20], kit=None, builds=None, paddock=None
+            bare, job_class=spec.job_class[:20], image=None, machine_types=None, zone=None
         )
         value["spec"] = job_value(small)
     return value
@@ -165,15 +165,15 @@
         self.size = part_size(value_kb)
         self.cut = min(self.size, part_size(kept_kb))
 
-    def names(self, uid: str, pieces: int) -> list[str]:
-        return [self.name(uid, base) for base in self.bases(pieces)]
+    def names(self, job_id: str, task_count: int) -> list[str]:
+        return [self.name(job_id, base) for base in self.bases(task_count)]
 
-    def bases(self, pieces: int) -> list[int]:
+    def bases(self, task_count: int) -> list[int]:
         """The first tasks of all items of a job with so many."""
         return [
             base
-            for start in range(0, pieces, self.size)
-            for base in range(start, min(start + self.size, pieces), self.cut)
+            for start in range(0, task_count, self.size)
+            for base in range(start, min(start + self.size, task_count), self.cut)
         ]
 
     def base(self, index: int) -> int:
@@ -184,9 +184,9 @@
         """The first task that an item no longer holds."""
         return min(base + self.cut, base // self.size * self.size + self.size)
 
-    def name(self, uid: str, base: int) -> str:
+    def name(self, job_id: str, base: int) -> str:
         stretch, rest = divmod(base, self.size)
-        return f"{uid}/{'0' * (rest // self.cut)}{stretch}"
+        return f"{job_id}/{'0' * (rest // self.cut)}{stretch}"
 
     def item(self, base: int, done: Iterable[int]) -> list[Any]:
         start = base // self.size * self.size
@@ -194,9 +194,9 @@
 
     def read(self, name: str, item: Any) -> tuple[str, list[int]]:
         """The job and its tasks that an item names as done, by whatever size it was written."""
-        uid, part = part_from(name)
+        job_id, part = part_from(name)
         size = item[0] if type(item) is list and item and type(item[0]) is int else self.size
-        return uid, [part * size + n for n in from_ranges(item)]
+        return job_id, [part * size + n for n in from_ranges(item)]
 
     def own(self, item: Any) -> bool:
         """Whether the item was written by this size, and says so."""
@@ -222,20 +222,20 @@
     return found
 
 
-def flavors_rows(flavors: list[Any], kb: float) -> list[tuple[str, dict[str, Any]]]:
+def machine_type_rows(machine_types: list[Any], kb: float) -> list[tuple[str, dict[str, Any]]]:
     """Machine types in as many values as they need.
 
     The key that earlier versions read holds all or nothing: to a node that knew only a part of
     the types, jobs for the others could never run.
     """
-    whole = {"builds": flavors}
+    whole = {"builds": machine_types}
     if fits(whole, kb):
         return [(FLAVORS, whole)]
     lists: list[list[Any]] = [[]]
-    for flavor in flavors:
-        if lists[-1] and not fits({"builds": [*lists[-1], flavor], "of": 9999}, kb):
+    for machine_type in machine_types:
+        if lists[-1] and not fits({"builds": [*lists[-1], machine_type], "of": 9999}, kb):
             lists.append([])
-        lists[-1].append(flavor)
+        lists[-1].append(machine_type)
     if not all(fits({"builds": one, "of": 9999}, kb) for one in lists):
         raise TooLong("a machine type is too long to be kept")
     return [
@@ -243,9 +243,10 @@
     ]
 
 
-def flavors_from(rows: dict[str, Any]) -> dict[str, Any] | None:
+def machine_types_from(rows: dict[str, Any]) -> dict[str, Any] | None:
     """The types as continued in several values; None while one of them is missing."""
     values = [rows[key] for key in sorted(rows)]
     if not values or any(type(v) is not dict or v.get("of") != len(values) for v in values):
         return None
-    return {"builds": [flavor for value in values for flavor in value.get("builds") or []]}
+    lists = [value.get("builds") or [] for value in values]
+    return {"builds": [machine_type for one in lists for machine_type in one]}
--- a/src/salthead/coordination/estimates.py
+++ b/src/salthead/coordination/estimates.py
@@ -12,18 +12,18 @@
         self.seen: dict[str, float] = {}
         self.said: dict[str, float] = {}
 
-    def learn(self, breed: str, guess_s: float, run_s: float) -> None:
-        if guess_s <= 0 or run_s <= 0:
+    def learn(self, job_class: str, estimated_run_s: float, run_s: float) -> None:
+        if estimated_run_s <= 0 or run_s <= 0:
             return
-        self.seen[breed] = self.seen.get(breed, 0.0) + run_s
-        self.said[breed] = self.said.get(breed, 0.0) + guess_s
+        self.seen[job_class] = self.seen.get(job_class, 0.0) + run_s
+        self.said[job_class] = self.said.get(job_class, 0.0) + estimated_run_s
 
-    def factor(self, breed: str) -> float:
-        seen, said = self.seen.get(breed, 0.0), self.said.get(breed, 0.0)
+    def factor(self, job_class: str) -> float:
+        seen, said = self.seen.get(job_class, 0.0), self.said.get(job_class, 0.0)
         return (seen + self.PRIOR_S) / (said + self.PRIOR_S)
 
-    def run_s(self, breed: str, guess_s: float) -> float:
-        return max(1.0, guess_s * self.factor(breed))
+    def run_s(self, job_class: str, estimated_run_s: float) -> float:
+        return max(1.0, estimated_run_s * self.factor(job_class))
 
 
 # One that has outlived its estimate goes on for this part of what it has run.
--- a/src/salthead/coordination/fleet.py
+++ b/src/salthead/coordination/fleet.py
@@ -123,8 +123,10 @@
 
 
 def price(ledger: Ledger, kind: Kind) -> float:
-    flavor = ledger.flavors[kind[0]]
-    return flavor.spot_price if kind[2] and flavor.spot_price is not None else flavor.rate
+    machine_type = ledger.machine_types[kind[0]]
+    if kind[2] and machine_type.spot_price is not None:
+        return machine_type.spot_price
+    return machine_type.rate
 
 
 def per_machine(cap: Vec, need: Vec) -> int:
@@ -138,29 +140,29 @@
     tasks on them would keep that class waiting.
     """
     found: list[tuple[bool, float, Kind]] = []
-    for build, flavor in ledger.flavors.items():
-        if job.builds is not None and build not in job.builds:
+    for type_index, machine_type in ledger.machine_types.items():
+        if job.allowed_types is not None and type_index not in job.allowed_types:
             continue
-        fit = per_machine(ledger.capacity(build), job.need)
+        fit = per_machine(ledger.capacity(type_index), job.need)
         if fit < 1:
             continue
-        for name in flavor.paddocks:
+        for name in machine_type.zones:
             zone = ledger.zones.intern(name)
             if job.zone is not None and zone != job.zone:
                 continue
-            for borrowed in (False, True):
-                if borrowed and (not job.spec.borrowed or flavor.spot_price is None):
+            for spot in (False, True):
+                if spot and (not job.spec.spot or machine_type.spot_price is None):
                     continue
-                kind = (build, zone, borrowed)
+                kind = (type_index, zone, spot)
                 if refusals.open(kind, now):
-                    last = build in ledger.scarce and not job.choosy
+                    last = type_index in ledger.scarce and not job.choosy
                     found.append((last, price(ledger, kind) / fit, kind))
     found.sort()
     return [kind for _, _, kind in found]
 
 
 def least_boot_s(ledger: Ledger) -> float:
-    return min((flavor.boot_s for flavor in ledger.flavors.values()), default=0.0)
+    return min((machine_type.boot_s for machine_type in ledger.machine_types.values()), default=0.0)
 
 
 def horizon(ledger: Ledger, line: list[Job], now: float) -> float:
@@ -171,11 +173,7 @@
     fifty seconds, beside 1,700 CPUs that were not hired.
     """
     boot_s = least_boot_s(ledger)
-    work = sum(
-        job.waiting() * job.need[0] * ledger.estimates.run_s(job.spec.breed, job.spec.guess_s)
-        for job in line
-        if not job.gang
-    )
+    work = sum(job.waiting() * job.need[0] * ledger.run_s(job) for job in line if not job.gang)
     rate = order.rate_of(ledger)
     booting = sum([m.cap[0] for m in ledger.machines.values() if m.phase == BOOTING])
     # One array that comes, or a fleet that begins to boot, has a long line, too: what is hired for
@@ -193,14 +191,11 @@
     """Room that is free, or will be by the time that a new machine could be up."""
     slots: list[Slot] = []
     soon_s = 0.7 * least_boot_s(ledger)
-    runs = {
-        job.uid: ledger.estimates.run_s(job.spec.breed, job.spec.guess_s)
-        for job in ledger.live.values()
-    }
+    runs = {job.job_id: ledger.run_s(job) for job in ledger.live.values()}
     for machine in ledger.machines.values():
         if machine.condemned or machine.returning or machine.warn_at is not None:
             continue
-        if machine.deaf_since is not None:
+        if machine.unresponsive_since is not None:
             continue  # so that another is hired in its place
         if machine.joined and now - machine.heard > ledger.limits.workers.lease_s:
             continue  # behind a cut, its lease kept by another node: no place to start anything
@@ -213,7 +208,7 @@
                 if binding.stop is not None or (
                     job is not None
                     and binding.started > 0.0
-                    and left_s(runs.get(job.uid, math.inf), now - binding.started) <= soon_s
+                    and left_s(runs.get(job.job_id, math.inf), now - binding.started) <= soon_s
                 ):
                     for n in range(3):
                         room[n] += binding.need[n]
@@ -225,8 +220,8 @@
 
 def suits(job: Job, kind: Kind) -> bool:
     return (
-        (job.spec.borrowed or not kind[2])
-        and (job.builds is None or kind[0] in job.builds)
+        (job.spec.spot or not kind[2])
+        and (job.allowed_types is None or kind[0] in job.allowed_types)
         and (job.zone is None or kind[1] == job.zone)
     )
 
@@ -239,14 +234,14 @@
 ) -> Plan:
     """The difference between the fleet that the queue wants and the one that is there."""
     result = Plan()
-    if not ledger.flavors:
+    if not ledger.machine_types:
         return result
     slots: list[Slot] = []
     new: list[Slot] = []
     if ledger.ready:
         left: dict[int, list[float]] = {
-            crew: [most[n] - ledger.usage[crew][n] for n in range(2)]
-            for crew, most in enumerate(ledger.caps)
+            team: [most[n] - ledger.usage[team][n] for n in range(2)]
+            for team, most in enumerate(ledger.caps)
         }
         within = placement.entitled(ledger)
         line = placement.queue(ledger, within, now)
@@ -256,9 +251,10 @@
             slots = supply(ledger, now, coming)
         pool = Pool(slots, min((job.need[0] for job in [*line, *soon]), default=0.0))
         for job in line:
-            _provide(ledger, job, job.waiting(), pool, new, left[job.crew], span, refusals, now)
+            _provide(ledger, job, job.waiting(), pool, new, left[job.team], span, refusals, now)
         for job in soon:
-            _provide(ledger, job, job.spec.pieces, pool, new, left[job.crew], span, refusals, now)
+            count = job.spec.task_count
+            _provide(ledger, job, count, pool, new, left[job.team], span, refusals, now)
     counts: dict[Kind, int] = defaultdict(int)
     for slot in new:
         counts[slot.kind] += 1
@@ -279,20 +275,20 @@
     """Jobs that will wait for nothing more by the time that a new machine could be up."""
     boot_s = least_boot_s(ledger)
     found = []
-    for uids in ledger.pipelines.breeds.values():
-        for uid in uids:
-            before = [ledger.live.get(other) for other in ledger.pipelines.nodes[uid].open]
+    for job_ids in ledger.pipelines.job_classes.values():
+        for job_id in job_ids:
+            before = [ledger.live.get(other) for other in ledger.pipelines.nodes[job_id].open]
             if all(
                 other is not None and not other.waiting() and end_s(ledger, other, now) <= boot_s
                 for other in before
             ):
-                found.append(ledger.jobs[uid])
+                found.append(ledger.jobs[job_id])
     return found
 
 
 def end_s(ledger: Ledger, job: Job, now: float) -> float:
     """How long the last of a job's tasks should go on, all of which have a machine."""
-    run_s = ledger.estimates.run_s(job.spec.breed, job.spec.guess_s)
+    run_s = ledger.run_s(job)
     return max(
         (
             left_s(run_s, now - binding.started) if binding.started else run_s
@@ -314,7 +310,7 @@
         for m in ledger.machines.values()
         if m.phase == UP and not m.condemned and not m.returning and m.warn_at is None
     ]
-    up = [m for m in up if m.build in ledger.flavors]
+    up = [m for m in up if m.machine_type in ledger.machine_types]
     costs = {
         kind: price(ledger, kind) / max(ledger.capacity(kind[0])[0], 1e-9)
         for kind in {m.kind for m in up}
@@ -328,7 +324,7 @@
         count = sum(1 for binding in job.bindings.values() if binding.stop is None)
         if count and not job.complete:
             rows.append((job, count))
-    rows.sort(key=lambda row: (-row[0].need[0], row[0].spec.borrowed, row[0].need[2]))
+    rows.sort(key=lambda row: (-row[0].need[0], row[0].spec.spot, row[0].need[2]))
     pool = Pool(slots, min((job.need[0] for job, _ in rows), default=0.0))
     for job, count in rows:
         for kind in cheapest:
@@ -348,7 +344,7 @@
         elif machine.surplus_since is None:
             machine.surplus_since = now
         elif not machine.cordoned and now - machine.surplus_since > (
-            patience * ledger.flavors[machine.build].boot_s
+            patience * ledger.machine_types[machine.machine_type].boot_s
         ):
             machine.cordoned = True
             log.info("machine %s is not needed: cordoned", machine.name)
@@ -384,9 +380,10 @@
 ) -> str:
     """Why the machine should be returned now; empty when it should not."""
     if machine.phase == LOST:
-        flavor = ledger.flavors.get(machine.build)
-        cut = counted.lost_many and flavor is not None and now - machine.lost_at < flavor.boot_s
-        return "" if cut else "lost"
+        machine_type = ledger.machine_types.get(machine.machine_type)
+        if not counted.lost_many or machine_type is None:
+            return "lost"
+        return "" if now - machine.lost_at < machine_type.boot_s else "lost"
     if (
         machine.phase == UP
         and machine.joined
@@ -400,17 +397,17 @@
     if machine.condemned:
         return machine.condemned if not machine.busy() else ""
     if machine.phase == BOOTING:
-        flavor = ledger.flavors.get(machine.build)
-        boot_s = flavor.boot_s if flavor else LEAST_CHARGE_S
+        machine_type = ledger.machine_types.get(machine.machine_type)
+        boot_s = machine_type.boot_s if machine_type else LEAST_CHARGE_S
         if now - ledger.took_over < ledger.limits.workers.lease_s:
             return ""  # it may be up and not have found this leader yet
         return "never came up" if now - machine.hired_at > BOOT_PATIENCE * boot_s + 10.0 else ""
     if machine.busy() or not ledger.ready:
         return ""
-    if machine.deaf_since is not None and now - machine.deaf_since > (
+    if machine.unresponsive_since is not None and now - machine.unresponsive_since > (
         ledger.limits.workers.lease_s
     ):
-        return "does not hear"
+        return "unresponsive"
     if machine.warn_at is not None:
         return "taken soon"
     if machine.name in needed or (machine.held_for and now < machine.held_until):
@@ -433,15 +430,13 @@
         if job.need[n] > 0:
             count = min(count, max(0, math.floor((left[n] + 1e-6) / job.need[n])))
     if job.gang:
-        if count < job.spec.pieces:
+        if count < job.spec.task_count:
             return
     else:
         # Short tasks share a place one after the other.
         count = min(
             count,
-            math.ceil(
-                count * ledger.estimates.run_s(job.spec.breed, job.spec.guess_s) / max(span, 1.0)
-            ),
+            math.ceil(count * ledger.run_s(job) / max(span, 1.0)),
         )
     for n in range(2):
         left[n] -= count * job.need[n]
@@ -449,9 +444,12 @@
     # What would be hired first is filled first, so that it is what is dear that falls empty.
     there = hirable + sorted(
         (kind for kind in pool.slots if kind not in hirable and suits(job, kind)),
-        key=lambda kind: (price(ledger, kind) if kind[0] in ledger.flavors else math.inf, kind),
+        key=lambda kind: (
+            price(ledger, kind) if kind[0] in ledger.machine_types else math.inf,
+            kind,
+        ),
     )
-    if job.gang and job.spec.same_place:
+    if job.gang and job.spec.single_zone:
         zone = _best_zone(job, pool, there, hirable, count)
         if zone is None:
             return
--- a/src/salthead/coordination/gangs.py
+++ b/src/salthead/coordination/gangs.py
@@ -26,7 +26,9 @@
     for binding in machine.bindings.values():
         other = binding.job
         run_s = (
-            0.0 if other is None else ledger.estimates.run_s(other.spec.breed, other.spec.guess_s)
+            0.0
+            if other is None
+            else ledger.estimates.run_s(other.spec.job_class, other.spec.estimated_run_s)
         )
         age_s = now - binding.started if binding.started else 0.0
         ends.append((now + left_s(run_s, age_s), binding.need))
@@ -47,7 +49,7 @@
     until = now + 3.0 * ledger.limits.workers.report_s
     crowded = any(not job.gang and job.waiting() for job in ledger.live.values())
     for job in starved:
-        if not job.gang or placement.quota_left(ledger, job) < job.spec.pieces:
+        if not job.gang or placement.quota_left(ledger, job) < job.spec.task_count:
             continue
         # Kept room stands empty, so while others wait for room it is kept no earlier than the
         # gang's own target asks.
@@ -57,28 +59,28 @@
         for machine in placement.base_candidates(ledger, job, now):
             at = room_at(ledger, machine, job, now)
             if at is not None and not placement.overdue(ledger, machine, now):
-                rows.append((machine.held_for != job.uid, at, machine.name, machine))
+                rows.append((machine.held_for != job.job_id, at, machine.name, machine))
         rows.sort(key=lambda row: row[:3])
-        zones = sorted({row[3].zone for row in rows}) if job.spec.same_place else [None]
+        zones = sorted({row[3].zone for row in rows}) if job.spec.single_zone else [None]
         chosen: list[Machine] = []
         for zone in zones:
             found: list[Machine] = []
             counts: dict[int, int] = {}
             for _, _, _, machine in rows:
-                if len(found) == job.spec.pieces:
+                if len(found) == job.spec.task_count:
                     break
                 if zone in (None, machine.zone) and placement.zone_open(job, machine.zone, counts):
                     found.append(machine)
                     counts[machine.zone] = counts.get(machine.zone, 0) + 1
-            if len(found) == job.spec.pieces and (
+            if len(found) == job.spec.task_count and (
                 not chosen or _kept(found, job) > _kept(chosen, job)
             ):
                 chosen = found
         for machine in chosen:
-            if machine.held_for != job.uid:
-                log.info("machine %s is kept for gang %s", machine.name, job.uid)
-            ledger.keep(machine, job.uid, until)
+            if machine.held_for != job.job_id:
+                log.info("machine %s is kept for gang %s", machine.name, job.job_id)
+            ledger.keep(machine, job.job_id, until)
 
 
 def _kept(machines: list[Machine], job: Job) -> int:
-    return sum(1 for machine in machines if machine.held_for == job.uid)
+    return sum(1 for machine in machines if machine.held_for == job.job_id)
--- a/src/salthead/coordination/order.py
+++ b/src/salthead/coordination/order.py
@@ -36,7 +36,7 @@
     """Whether half of the wait that the job's next target allows is gone."""
     if overdue(job, now):
         return True
-    run_s = ledger.estimates.run_s(job.spec.breed, job.spec.guess_s)
+    run_s = ledger.run_s(job)
     start_by = target(ledger, job, run_s, now)
     return start_by == math.inf or now - job.since >= 0.5 * (start_by - job.since)
 
@@ -69,10 +69,10 @@
     """The latest time at which the job may start and still meet its next target; inf if none."""
     best = math.inf
     for aim in ledger.limits.objectives:
-        if aim.breed != job.spec.breed:
+        if aim.job_class != job.spec.job_class:
             continue
-        if aim.kind == "deadline" and job.spec.due_s is not None:
-            start_by = job.submitted + job.spec.due_s * aim.times - run_s
+        if aim.kind == "deadline" and job.spec.deadline_s is not None:
+            start_by = job.submitted + job.spec.deadline_s * aim.times - run_s
         elif aim.kind == "finished":
             start_by = job.since + aim.within_s - run_s
         elif aim.kind == "wait" and not job.first_start:
@@ -84,8 +84,8 @@
     for due_at in job.due:  # for the sake of a job after it
         if due_at - run_s >= now:
             best = min(best, due_at - run_s)
-    if best == math.inf and job.spec.due_s is not None:
-        start_by = job.submitted + job.spec.due_s - run_s
+    if best == math.inf and job.spec.deadline_s is not None:
+        start_by = job.submitted + job.spec.deadline_s - run_s
         best = start_by if start_by >= now else math.inf
     return best
 
@@ -114,13 +114,15 @@
 def by_targets(ledger: Ledger, jobs: list[Job], rate: float, now: float) -> list[Job]:
     """One rank's jobs in the order in which they are served; ``rate`` is in CPUs."""
     rows: list[tuple[float, float, str, float, Job]] = []
-    first = sorted((job for job in jobs if overdue(job, now)), key=lambda job: (job.since, job.uid))
+    first = sorted(
+        (job for job in jobs if overdue(job, now)), key=lambda job: (job.since, job.job_id)
+    )
     for job in jobs:
         if overdue(job, now):
             continue
-        run_s = ledger.estimates.run_s(job.spec.breed, job.spec.guess_s)
+        run_s = ledger.run_s(job)
         work = job.waiting() * max(job.need[0], 0.1) * run_s
-        rows.append((target(ledger, job, run_s, now), job.since, job.uid, work, job))
+        rows.append((target(ledger, job, run_s, now), job.since, job.job_id, work, job))
     rows.sort(key=lambda row: row[:3])
     kept: list[tuple[float, float, str, float, Job]] = []
     behind: list[tuple[float, float, str, float, Job]] = []
@@ -132,7 +134,7 @@
         if row[0] == math.inf:
             put_off.add(at)
             continue
-        own = loads[row[4].crew]
+        own = loads[row[4].team]
         own.add(at, row[3])
         fleet_load.add(at, row[3])
         # The last of its tasks starts when all work ahead of it is done.
@@ -140,7 +142,7 @@
             if load.total > EPS and now + load.total / max(load.rate, 1.0) > row[0]:
                 largest, work = load.pop(put_off)
                 put_off.add(largest)
-                other = other or loads[rows[largest][4].crew]
+                other = other or loads[rows[largest][4].team]
                 other.total -= work
     for at, row in enumerate(rows):
         (behind if at in put_off else kept).append(row)
--- a/src/salthead/coordination/placement.py
+++ b/src/salthead/coordination/placement.py
@@ -28,14 +28,14 @@
     """
     within: set[str] = set()
     sums = [[0.0, 0.0] for _ in ledger.guarantees]
-    for job in sorted(ledger.live.values(), key=lambda job: (job.since, job.uid)):
-        if job.over or job.called_off:
+    for job in sorted(ledger.live.values(), key=lambda job: (job.since, job.job_id)):
+        if job.over or job.cancel_requested:
             continue
-        total, size, most = sums[job.crew], job.size(), ledger.guarantees[job.crew]
+        total, size, most = sums[job.team], job.size(), ledger.guarantees[job.team]
         total[0] += size[0]
         total[1] += size[1]
         if total[0] <= most[0] + EPS and total[1] <= most[1] + EPS:
-            within.add(job.uid)
+            within.add(job.job_id)
     return within
 
 
@@ -50,21 +50,23 @@
         job
         for job in ledger.live.values()
         if not job.failed
-        and job.uid not in ledger.ghost_jobs
+        and job.job_id not in ledger.stray_jobs
         and job.waiting() > 0
         and ledger.may_place(job)
     ]
     at_once_s = ledger.prompt.within_s
-    first = [job for job in waiting if job.uid in within and now - job.since <= at_once_s]
-    first.sort(key=lambda job: (job.rank, job.waiting() * job.need[0], job.since, job.uid))
-    young = {job.uid for job in first}
+    first = [job for job in waiting if job.job_id in within and now - job.since <= at_once_s]
+    first.sort(key=lambda job: (job.rank, job.waiting() * job.need[0], job.since, job.job_id))
+    young = {job.job_id for job in first}
     rate = order.rate_of(ledger)
     for guaranteed in (True, False):
         for rank in range(len(names.URGENCIES)):
             same = [
                 job
                 for job in waiting
-                if job.rank == rank and job.uid not in young and (job.uid in within) == guaranteed
+                if job.rank == rank
+                and job.job_id not in young
+                and (job.job_id in within) == guaranteed
             ]
             first += order.by_targets(ledger, same, rate, now)
     return first
@@ -72,10 +74,10 @@
 
 def quota_left(ledger: Ledger, job: Job, heed: bool = True) -> int:
     """How many more tasks of the job its team's limit allows; ``heed`` what is kept of it."""
-    if ledger.strangers:
+    if ledger.unknown_jobs:
         return 0  # a stray task's team is not known yet
-    usage, most = ledger.usage[job.crew], ledger.caps[job.crew]
-    left = float(job.spec.pieces)
+    usage, most = ledger.usage[job.team], ledger.caps[job.team]
+    left = float(job.spec.task_count)
     for n in range(2):
         if job.need[n] > 0:
             # Any team may be using all of the machines that have not been heard from.
@@ -93,7 +95,7 @@
         ("condemned", bool(machine.condemned)),
         ("going", machine.returning or machine.warn_at is not None),
         ("failing", now < machine.error_until),
-        ("deaf", not machine.hears(now)),
+        ("unresponsive", not machine.responsive(now)),
         ("unheard", not usable(ledger, machine, now)),
     )
     return next((reason for reason, holds in reasons if holds), "")
@@ -102,8 +104,8 @@
 def allows(job: Job, machine: Machine) -> bool:
     """Kind, type and zone, for the job alone."""
     return (
-        (job.spec.borrowed or not machine.borrowed)
-        and (job.builds is None or machine.build in job.builds)
+        (job.spec.spot or not machine.spot)
+        and (job.allowed_types is None or machine.machine_type in job.allowed_types)
         and (job.zone is None or machine.zone == job.zone)
     )
 
@@ -120,7 +122,7 @@
         and machine.warn_at is None
         and now - machine.heard <= FRESH_PERIODS * ledger.limits.workers.report_s
         and now >= machine.error_until
-        and machine.hears(now)
+        and machine.responsive(now)
     )
 
 
@@ -141,7 +143,7 @@
 
 def held_back(ledger: Ledger, job: Job, now: float) -> bool:
     """Whether the job could start if nothing were kept for others, nor avoided for its errors."""
-    left = job.spec.pieces if job.gang else 1
+    left = job.spec.task_count if job.gang else 1
     if quota_left(ledger, job, heed=False) < left:
         return False
     for machine in ledger.with_room(kinds(ledger, job), job.need):
@@ -162,12 +164,12 @@
     """Not kept for another job, nor of the only type for one that waits unless time presses."""
     return (
         insistent(job, now)
-        or (not machine.held_for or machine.held_for == job.uid or now >= machine.held_until)
+        or (not machine.held_for or machine.held_for == job.job_id or now >= machine.held_until)
         and machine.name not in job.error_machines
         and (
             not ledger.choosy_wait
             or job.choosy
-            or machine.build not in ledger.scarce
+            or machine.machine_type not in ledger.scarce
             or order.due(ledger, job, now)
         )
     )
@@ -183,9 +185,9 @@
 
 def zone_open(job: Job, zone: int, counts: dict[int, int]) -> bool:
     """Whether one more task of the job may be in the zone, given its other tasks."""
-    if job.spec.same_place and counts and zone not in counts:
+    if job.spec.single_zone and counts and zone not in counts:
         return False
-    return not (job.spec.apart and counts.get(zone, 0) >= (job.spec.pieces + 1) // 2)
+    return not (job.spec.spread_zones and counts.get(zone, 0) >= (job.spec.task_count + 1) // 2)
 
 
 def draw(machines: list[Machine], rng: random.Random) -> Machine:
@@ -196,7 +198,7 @@
     return one if one.fullest() <= other.fullest() else other
 
 
-class Urn:
+class CandidatePools:
     """What a job's tasks are drawn from: its candidates, those that have its image first.
 
     Without that filter a fetch, often longer than the task, precedes the first task of each
@@ -209,10 +211,10 @@
     def __init__(self, ledger: Ledger, job: Job, candidates: Iterable[Machine]) -> None:
         self.need = job.need
         self.pools: list[list[Machine]] = [[], [], [], []]
-        kit = job.spec.kit
+        image = job.spec.image
         for machine in candidates:
-            last = 0 if job.choosy or machine.build not in ledger.scarce else 2
-            far = 0 if kit and kit in machine.images else 1
+            last = 0 if job.choosy or machine.machine_type not in ledger.scarce else 2
+            far = 0 if image and image in machine.images else 1
             self.pools[last + far].append(machine)
 
     def zones(self) -> set[int]:
@@ -240,8 +242,8 @@
     return [
         kind
         for kind in ledger.free
-        if (job.spec.borrowed or not kind[2])
-        and (job.builds is None or kind[0] in job.builds)
+        if (job.spec.spot or not kind[2])
+        and (job.allowed_types is None or kind[0] in job.allowed_types)
         and (job.zone is None or kind[1] == job.zone)
     ]
 
@@ -277,44 +279,46 @@
     wanted = min(job.waiting(), quota_left(ledger, job))
     if wanted <= 0:
         return 0
-    urn = Urn(ledger, job, candidates(ledger, job, now) if only is None else [only])
+    candidate_pools = CandidatePools(
+        ledger, job, candidates(ledger, job, now) if only is None else [only]
+    )
     counts: dict[int, int] = {}
-    zoned = job.spec.same_place or job.spec.apart
+    zoned = job.spec.single_zone or job.spec.spread_zones
     if zoned:
         counts = zone_counts(job)
-        for zone in urn.zones():
+        for zone in candidate_pools.zones():
             if not zone_open(job, zone, counts):
-                urn.close(zone)
+                candidate_pools.close(zone)
     bound = 0
-    while bound < wanted and (machine := urn.draw(rng)) is not None:
+    while bound < wanted and (machine := candidate_pools.draw(rng)) is not None:
         index = job.take()
         if index is None:
             break
         ledger.bind(job, index, machine, ledger.next_attempt(), now)
-        urn.used(machine)
+        candidate_pools.used(machine)
         bound += 1
         if zoned:
             counts[machine.zone] = counts.get(machine.zone, 0) + 1
             for zone in range(len(ledger.zones)):
                 if not zone_open(job, zone, counts):
-                    urn.close(zone)
+                    candidate_pools.close(zone)
     return bound
 
 
 def place_gang(ledger: Ledger, job: Job, rng: random.Random, now: float) -> int:
     """Bind all members or none."""
-    pieces = job.spec.pieces
-    if quota_left(ledger, job) < pieces:
+    task_count = job.spec.task_count
+    if quota_left(ledger, job) < task_count:
         return 0
     base = [m for m in candidates(ledger, job, now) if not overdue(ledger, m, now)]
     zones: Iterable[int | None] = [None]
-    if job.spec.same_place:
+    if job.spec.single_zone:
         present = sorted({m.zone for m in base})
         rng.shuffle(present)
         zones = present
     for zone in zones:
         if _draw_members(ledger, job, [m for m in base if zone in (None, m.zone)], rng, now):
-            return pieces
+            return task_count
     return 0
 
 
@@ -327,23 +331,23 @@
 ) -> bool:
     counts: dict[int, int] = {}
     chosen: list[Machine] = []
-    urn = Urn(ledger, job, base)
-    for _ in range(job.spec.pieces):
-        machine = urn.draw(rng)
+    candidate_pools = CandidatePools(ledger, job, base)
+    for _ in range(job.spec.task_count):
+        machine = candidate_pools.draw(rng)
         if machine is None:
             break
         for n in range(3):  # a booking that only later members of the draw see
             machine.used[n] += job.need[n]
-        urn.used(machine)
+        candidate_pools.used(machine)
         chosen.append(machine)
-        if job.spec.apart:
+        if job.spec.spread_zones:
             counts[machine.zone] = counts.get(machine.zone, 0) + 1
             if not zone_open(job, machine.zone, counts):
-                urn.close(machine.zone)
+                candidate_pools.close(machine.zone)
     for machine in chosen:
         for n in range(3):
             machine.used[n] -= job.need[n]
-    if len(chosen) < job.spec.pieces:
+    if len(chosen) < job.spec.task_count:
         return False
     job.attempt = ledger.next_attempt()
     for index, machine in enumerate(chosen):
@@ -362,7 +366,7 @@
     for machine in ledger.machines.values():
         if machine.phase != UP or not machine.bindings or not overdue(ledger, machine, now):
             continue
-        for binding in [b for b in machine.bindings.values() if b.untold()]:
+        for binding in [b for b in machine.bindings.values() if b.start_unsent()]:
             job = binding.job
             if job is None or job.failed or job.over:
                 continue
@@ -379,7 +383,7 @@
             ]
             if found:
                 other = draw(found, rng)
-                log.info("%s goes from silent %s to %s", binding.piece, machine.name, other.name)
+                log.info("%s goes from silent %s to %s", binding.task_id, machine.name, other.name)
                 ledger.move(binding, other, now)
 
 
@@ -399,11 +403,11 @@
         job.pause = 0.0
         job.held_since = None
         level = logging.DEBUG if only is not None else logging.INFO
-        log.log(level, "placed %d of %s, %d left", bound, job.uid, job.waiting())
+        log.log(level, "placed %d of %s, %d left", bound, job.job_id, job.waiting())
         if job.waiting() == 0:
-            ledger.unkeep(job.uid)
+            ledger.unkeep(job.job_id)
             if job.reserved_at is not None:
-                ledger.rest_until[job.crew] = now + (now - job.reserved_at)
+                ledger.rest_until[job.team] = now + (now - job.reserved_at)
                 job.reserved_at = None
             judge(ledger, job, now)
     return bound
@@ -436,7 +440,7 @@
             or not machine.fits(job.need)
             or not allows(job, machine)
             or not open_to(ledger, job, machine, now)
-            or job.uid in ledger.ghost_jobs
+            or job.job_id in ledger.stray_jobs
             or not ledger.may_place(job)
         ):
             continue
@@ -456,9 +460,9 @@
     ledger.choosy_wait = any(job.choosy for job in ledger.line)
     reserved: list[Job | None] = [None for _ in ledger.caps]
     for job in ledger.line:
-        job.entitled = job.entitled or job.uid in within
+        job.entitled = job.entitled or job.job_id in within
         judge(ledger, job, now)
-        ahead = reserved[job.crew]
+        ahead = reserved[job.team]
         job.behind = (0.0, 0.0)
         if (
             ahead is not None
@@ -466,7 +470,7 @@
             and (job.gang or order.pressing(ahead, now))
         ):
             job.behind = ahead.size()[:2]
-        short = quota_left(ledger, job) < (job.spec.pieces if job.gang else 1)
+        short = quota_left(ledger, job) < (job.spec.task_count if job.gang else 1)
         if job.short and not short:
             job.pause_until = 0.0
         job.short = short
@@ -476,11 +480,11 @@
                 attempt(ledger, job, rng, now)
                 if job.waiting() == 0:
                     continue
-                job.short = quota_left(ledger, job) < (job.spec.pieces if job.gang else 1)
+                job.short = quota_left(ledger, job) < (job.spec.task_count if job.gang else 1)
             if job.short:
-                log.debug("job %s waits: limit of team %s", job.uid, job.spec.crew)
+                log.debug("job %s waits: limit of team %s", job.job_id, job.spec.team)
             else:
-                log.debug("job %s waits: no candidate for %d tasks", job.uid, job.waiting())
+                log.debug("job %s waits: no candidate for %d tasks", job.job_id, job.waiting())
             starved.append(job)
             if not held_back(ledger, job, now):
                 job.held_since = None
@@ -490,8 +494,8 @@
             job.pause_until = now + job.pause
         # For one gang at a time, and then as long for nobody: else all that an overloaded team
         # frees goes to a few of its largest jobs, and each of them makes many others late.
-        if ahead is None and order.reserving(job, now) and now >= ledger.rest_until[job.crew]:
-            reserved[job.crew] = job
+        if ahead is None and order.reserving(job, now) and now >= ledger.rest_until[job.team]:
+            reserved[job.team] = job
             if job.reserved_at is None:
                 job.reserved_at = now
     return starved
--- a/src/salthead/coordination/preemption.py
+++ b/src/salthead/coordination/preemption.py
@@ -17,9 +17,9 @@
 PATIENCE_BOOTS = 3.0
 
 
-def leeway(job: Job) -> float:
+def grace(job: Job) -> float:
     """The grace with which a task of the job saves; 0 when it can't."""
-    return job.spec.stow_s if job.spec.cairn_s > 0 else 0.0
+    return job.spec.checkpoint_save_s if job.spec.checkpoint_interval_s > 0 else 0.0
 
 
 def stop(ledger: Ledger, binding: Binding, why: str) -> None:
@@ -29,10 +29,10 @@
         return
     if job.gang:
         job.pushed = True
-        ledger.stop_gang(job, leeway(job), why)
+        ledger.stop_gang(job, grace(job), why)
     else:
-        log.info("stop %s on %s: %s", binding.piece, binding.machine.name, why)
-        ledger.want_stop(binding, leeway(job))
+        log.info("stop %s on %s: %s", binding.task_id, binding.machine.name, why)
+        ledger.want_stop(binding, grace(job))
 
 
 def lost_work(binding: Binding, now: float, restart_s: float) -> float:
@@ -47,8 +47,8 @@
     lost = 0.0
     for member in members:
         run = max(0.0, now - member.started) if member.started else 0.0
-        if job.spec.cairn_s > 0 and not (member.phase and run <= 0):
-            run = min(run, job.spec.stow_s)
+        if job.spec.checkpoint_interval_s > 0 and not (member.phase and run <= 0):
+            run = min(run, job.spec.checkpoint_save_s)
         lost += (run + restart_s) * max(member.need[0], 0.1)
     return lost
 
@@ -76,16 +76,16 @@
         return False
     if other.rank > rank:
         return True
-    if job.uid not in within or other.crew == job.crew or other.uid in within:
+    if job.job_id not in within or other.team == job.team or other.job_id in within:
         return False
-    flavor = ledger.flavors.get(victim.machine.build)
+    machine_type = ledger.machine_types.get(victim.machine.machine_type)
     if (
-        flavor is None
-        or now - job.since < PATIENCE_BOOTS * flavor.boot_s
+        machine_type is None
+        or now - job.since < PATIENCE_BOOTS * machine_type.boot_s
         or (other.gang and other.pushed)
     ):
         return False
-    usage, most = ledger.usage[other.crew], ledger.guarantees[other.crew]
+    usage, most = ledger.usage[other.team], ledger.guarantees[other.team]
     return usage[0] > most[0] or usage[1] > most[1]
 
 
@@ -104,10 +104,10 @@
     """Whether anything runs that the job might push aside: spares the look at each machine."""
     if any(ledger.ranks[job.rank + 1 :]):
         return True
-    return job.uid in within and any(
+    return job.job_id in within and any(
         usage[n] > most[n]
-        for crew, (usage, most) in enumerate(zip(ledger.usage, ledger.guarantees, strict=True))
-        if crew != job.crew
+        for team, (usage, most) in enumerate(zip(ledger.usage, ledger.guarantees, strict=True))
+        if team != job.team
         for n in range(2)
     )
 
@@ -115,7 +115,7 @@
 def make_room(ledger: Ledger, job: Job, within: set[str], now: float) -> int:
     """Choose victims for the job's waiting tasks; machines are kept for it meanwhile."""
     wanted = min(job.waiting(), placement.quota_left(ledger, job))
-    if (job.gang and wanted < job.spec.pieces) or not could_push(ledger, job, within):
+    if (job.gang and wanted < job.spec.task_count) or not could_push(ledger, job, within):
         return 0
     base = [
         m
@@ -124,7 +124,7 @@
         and all(c + 1e-6 >= n for c, n in zip(m.cap, job.need, strict=True))
     ]
     zones: list[int | None] = [None]
-    if job.gang and job.spec.same_place:
+    if job.gang and job.spec.single_zone:
         zones = [*sorted({m.zone for m in base})]
     best: tuple[float, list[tuple[Machine, list[Binding]]]] | None = None
     for zone in zones:
@@ -138,12 +138,12 @@
     report_s = ledger.limits.workers.report_s
     for machine, victims in best[1]:
         # Until the stop is told, the task has saved, its exit is told, and the draw.
-        longest = max((leeway(v.job) for v in victims if v.job), default=0.0)
+        longest = max((grace(v.job) for v in victims if v.job), default=0.0)
         until = now + longest + 4.0 * report_s
-        ledger.keep(machine, job.uid, until)
+        ledger.keep(machine, job.job_id, until)
         job.room_until = max(job.room_until, until)
         for victim in victims:
-            stop(ledger, victim, f"room for {job.uid}")
+            stop(ledger, victim, f"room for {job.job_id}")
     return len(best[1])
 
 
@@ -230,12 +230,12 @@
     for job in starved:
         if job.short:
             continue
-        kept = ledger.kept_for(job.uid, now) if now < job.room_until else []
+        kept = ledger.kept_for(job.job_id, now) if now < job.room_until else []
         if any(placement.overdue(ledger, machine, now) for machine in kept):
             # Seen on loss, prairie-ledger-fleet: of the room made for a gang of 24 one machine
             # died, and the rest stood empty until it was given up. What was stopped for it goes
             # anyway, so that the same machines are chosen, and others for the silent ones.
-            ledger.unkeep(job.uid)
+            ledger.unkeep(job.job_id)
         elif kept:
             continue  # room is being made already
         make_room(ledger, job, within, now)
@@ -245,7 +245,7 @@
     """Stop tasks on machines that are about to be taken, as late as is safe."""
     workers = ledger.limits.workers
     # The order rides on the answer to the next report.
-    told = 1.25 * workers.report_s + 0.5
+    start_sends = 1.25 * workers.report_s + 0.5
     for machine in ledger.machines.values():
         if machine.phase != UP or machine.warn_at is None:
             continue
@@ -254,5 +254,5 @@
             job = binding.job
             if job is None or binding.stop is not None:
                 continue
-            if left <= told * (2.0 if job.gang else 1.0) + leeway(job) + 0.5:
+            if left <= start_sends * (2.0 if job.gang else 1.0) + grace(job) + 0.5:
                 stop(ledger, binding, f"{machine.name} is taken in {left:.1f} s")
--- a/src/salthead/coordination/waiting.py
+++ b/src/salthead/coordination/waiting.py
@@ -17,32 +17,37 @@
 
 def join(ledger: Ledger, job: Job) -> None:
     """Find the job's place among those that wait for others."""
-    spec, awaits = job.spec, job.spec.awaits or []
+    spec, depends_on = job.spec, job.spec.depends_on or []
     job.since = job.submitted
     due = (math.inf, math.inf)
-    if spec.due_s is not None:
+    if spec.deadline_s is not None:
         times = [
             aim.times
             for aim in ledger.limits.objectives
-            if aim.kind == "deadline" and aim.breed == spec.breed
+            if aim.kind == "deadline" and aim.job_class == spec.job_class
         ]
         due = (
-            job.submitted + spec.due_s * min(times, default=1.0),
-            job.submitted + spec.due_s * max(times, default=1.0),
+            job.submitted + spec.deadline_s * min(times, default=1.0),
+            job.submitted + spec.deadline_s * max(times, default=1.0),
         )
     ledger.pipelines.add(
-        job.uid, awaits, job.rank, spec.breed, ledger.estimates.run_s(spec.breed, spec.guess_s), due
+        job.job_id,
+        depends_on,
+        job.rank,
+        spec.job_class,
+        ledger.estimates.run_s(spec.job_class, spec.estimated_run_s),
+        due,
     )
-    job.awaiting = bool(ledger.pipelines.nodes[job.uid].open)
+    job.awaiting = bool(ledger.pipelines.nodes[job.job_id].open)
     if not job.awaiting:
-        ledger.live[job.uid] = job
+        ledger.live[job.job_id] = job
         _count_from(ledger, job)
     if any(
-        known.doomed or known.over == names.ABORTED
-        for uid in awaits
-        if (known := ledger.jobs.get(uid)) is not None
+        known.dependency_cancelled or known.over == names.ABORTED
+        for job_id in depends_on
+        if (known := ledger.jobs.get(job_id)) is not None
     ):
-        _doom(ledger, [job.uid, *ledger.pipelines.aborted(job.uid)])
+        _cancel_dependents(ledger, [job.job_id, *ledger.pipelines.aborted(job.job_id)])
     _inherit(ledger)
 
 
@@ -51,68 +56,68 @@
     job.since = max(
         [
             job.submitted,
-            *(at for uid in job.spec.awaits or [] if (at := ended.get(uid)) is not None),
+            *(at for job_id in job.spec.depends_on or [] if (at := ended.get(job_id)) is not None),
         ]
     )
 
 
-def _ready(ledger: Ledger, uids: list[str]) -> None:
+def _ready(ledger: Ledger, job_ids: list[str]) -> None:
     """All that these await is durably done."""
-    for uid in uids:
-        job = ledger.jobs[uid]
+    for job_id in job_ids:
+        job = ledger.jobs[job_id]
         job.awaiting = False
-        ledger.live[uid] = job
+        ledger.live[job_id] = job
         _count_from(ledger, job)
-        log.info("job %s is ready", uid)
-    if uids:
+        log.info("job %s is ready", job_id)
+    if job_ids:
         ledger.on_change()
 
 
-def _doom(ledger: Ledger, uids: list[str]) -> None:
+def _cancel_dependents(ledger: Ledger, job_ids: list[str]) -> None:
     """A job that these need was cancelled, durably: their end follows from that."""
-    for uid in uids:
-        job = ledger.jobs[uid]
-        job.doomed = True
-        ledger.live.pop(uid, None)
-        ledger.doomed[uid] = None
+    for job_id in job_ids:
+        job = ledger.jobs[job_id]
+        job.dependency_cancelled = True
+        ledger.live.pop(job_id, None)
+        ledger.pending_aborts[job_id] = None
         for binding in list(job.bindings.values()):
             ledger.want_stop(binding, 0.0)
-    if uids:
-        log.info("%d jobs end with one that they need: %s", len(uids), ", ".join(uids[:5]))
-        ledger.on_doomed()
+    if job_ids:
+        log.info("%d jobs end with one that they need: %s", len(job_ids), ", ".join(job_ids[:5]))
+        ledger.on_pending_aborts()
         ledger.on_change()
 
 
 def ended(ledger: Ledger, job: Job, phase: str, now: float) -> None:
     """A job's outcome is durable: what awaits it is ready, or ends with it."""
-    ledger.doomed.pop(job.uid, None)
+    ledger.pending_aborts.pop(job.job_id, None)
     if phase == names.DONE:
-        node = ledger.pipelines.nodes.get(job.uid)
-        for uid in node.after if node is not None else ():
-            ledger.jobs[uid].fresh = True  # until now nobody could start it
-        _ready(ledger, ledger.pipelines.done(job.uid, now))
+        node = ledger.pipelines.nodes.get(job.job_id)
+        for job_id in node.after if node is not None else ():
+            ledger.jobs[job_id].fresh = True  # until now nobody could start it
+        _ready(ledger, ledger.pipelines.done(job.job_id, now))
     else:
-        _doom(ledger, ledger.pipelines.aborted(job.uid))
+        _cancel_dependents(ledger, ledger.pipelines.aborted(job.job_id))
     _inherit(ledger)
 
 
-def settle(ledger: Ledger, uid: str, phase: str, at: float | None, now: float) -> None:
+def resolve(ledger: Ledger, job_id: str, phase: str, at: float | None, now: float) -> None:
     """What a record says of a job that others await, and that ended before this term.
 
     ``at`` is the time of day; clocks differ within their bound, so it is no later than now.
     """
     if phase == names.DONE:
         ended = now if at is None else min(now, at - ledger.wall_ahead)
-        _ready(ledger, ledger.pipelines.done(uid, ended))
+        _ready(ledger, ledger.pipelines.done(job_id, ended))
     else:
-        _doom(ledger, ledger.pipelines.aborted(uid))
+        _cancel_dependents(ledger, ledger.pipelines.aborted(job_id))
     _inherit(ledger)
 
 
 def _inherit(ledger: Ledger) -> None:
     """Ranks and due times that have changed with the graph."""
-    for uid, node in ledger.pipelines.take_moved():
-        job = ledger.jobs.get(uid)
+    for job_id, node in ledger.pipelines.take_moved():
+        job = ledger.jobs.get(job_id)
         if job is None:
             continue
         job.due = node.inherited_due
@@ -123,11 +128,15 @@
 
 def revise_runs(ledger: Ledger) -> None:
     """Where estimates of run times have moved by more than a tenth, so do due times."""
-    for breed, uids in ledger.pipelines.breeds.items():
-        factor = ledger.estimates.factor(breed)
-        if abs(factor - ledger.factors.get(breed, 1.0)) > 0.1 * factor:
-            ledger.factors[breed] = factor
+    for job_class, job_ids in ledger.pipelines.job_classes.items():
+        factor = ledger.estimates.factor(job_class)
+        if abs(factor - ledger.factors.get(job_class, 1.0)) > 0.1 * factor:
+            ledger.factors[job_class] = factor
             ledger.pipelines.revise(
-                (uid, ledger.estimates.run_s(breed, ledger.jobs[uid].spec.guess_s)) for uid in uids
+                (
+                    job_id,
+                    ledger.estimates.run_s(job_class, ledger.jobs[job_id].spec.estimated_run_s),
+                )
+                for job_id in job_ids
             )
     _inherit(ledger)
--- a/src/salthead/coordination/keeping.py
+++ b/src/salthead/coordination/zone_leases.py
@@ -23,7 +23,7 @@
     return seen + ttl * (1.0 + DRIFT) + 0.1
 
 
-class Keeper:
+class ZoneLease:
     """The node's side: when it may answer in the leader's name."""
 
     # A worker that comes back within this long after it was sent to the leader can't reach it.
--- a/src/salthead/feed.py
+++ b/src/salthead/job_records.py
@@ -9,8 +9,8 @@
 from salthead.bookkeeping import records
 from salthead.bookkeeping.store import TROUBLES, Compacted
 from salthead.coordination import waiting
-from salthead.coordination.keeping import counted_until
 from salthead.coordination.model import Job
+from salthead.coordination.zone_leases import counted_until
 from salthead.protocol import names
 from salthead.protocol.messages import Malformed, Submission
 from salthead.transport.client import Unanswered
@@ -18,13 +18,13 @@
 if TYPE_CHECKING:
     from salthead.term import Term
 
-log = logging.getLogger("salthead.feed")
+log = logging.getLogger("salthead.job_records")
 
 # Between looks at what became of awaited jobs.
 AWAIT_GAP_S = 0.2
 
 
-class JobFeed:
+class JobRecords:
     def __init__(self, term: Term) -> None:
         self.term = term
         self.ledger = term.ledger
@@ -45,7 +45,7 @@
         for key, (value, stamp) in jobs.items():
             self.take_row(key, value, stamp, rest, loading=True)
         self.term.leftovers = {
-            key: uid for key in rest if (uid := key.split("/")[1]) not in ledger.jobs
+            key: job_id for key in rest if (job_id := key.split("/")[1]) not in ledger.jobs
         }
         self.load_parts(
             {key: value for key, (value, _) in parts.items()},
@@ -53,8 +53,10 @@
         )
         for key, (value, stamp) in roster.items():
             self.term.roster.load(key, value, stamp)
-            for name, (build, zone, borrowed, endpoint) in value.items():
-                machine = ledger.add_machine(name, build, zone, bool(borrowed), now, rostered=True)
+            for name, (machine_type, zone, spot, endpoint) in value.items():
+                machine = ledger.add_machine(
+                    name, machine_type, zone, bool(spot), now, rostered=True
+                )
                 machine.endpoint = machine.endpoint or str(endpoint or "")
         # Another node may have been allowed by the last leader to answer workers for a while.
         keeps, _ = await self.term.store.rows(records.KEEP)
@@ -73,22 +75,22 @@
             # A stretch may stand on two pages, if a writer ended between them: what either names
             # is done.
             for name, item in content.items():
-                uid, done = self.term.stretches.read(name, item)
-                job = ledger.jobs.get(uid)
+                job_id, done = self.term.stretches.read(name, item)
+                job = ledger.jobs.get(job_id)
                 if job is not None:
                     ledger.load_done(job, done)
                     if not self.term.stretches.own(item):
-                        again.add(uid)
+                        again.add(job_id)
         again |= {records.part_from(name)[0] for name in self.term.parts.twice}
         for name in list(self.term.parts.where):
             if records.part_from(name)[0] not in ledger.jobs:
                 self.term.parts.drop(name)
-        for uid in again & ledger.jobs.keys():
+        for job_id in again & ledger.jobs.keys():
             # Written by another size, or twice: once more, as this version writes it.
-            job = ledger.jobs[uid]
-            self.set_parts(job, [n for n in range(job.spec.pieces) if job.done[n]])
-            own = set(self.term.stretches.names(uid, job.spec.pieces))
-            for name in [n for n in self.term.parts.where if records.part_from(n)[0] == uid]:
+            job = ledger.jobs[job_id]
+            self.set_parts(job, [n for n in range(job.spec.task_count) if job.done[n]])
+            own = set(self.term.stretches.names(job_id, job.spec.task_count))
+            for name in [n for n in self.term.parts.where if records.part_from(n)[0] == job_id]:
                 if name not in own:
                     self.term.parts.drop(name)
 
@@ -99,8 +101,8 @@
         for base in sorted(at, reverse=True):
             # The first cut of a stretch, whose name every version knows, comes after the others:
             # it may hold them all as yet.
-            end = min(self.term.stretches.end(base), job.spec.pieces)
-            name = self.term.stretches.name(job.uid, base)
+            end = min(self.term.stretches.end(base), job.spec.task_count)
+            name = self.term.stretches.name(job.job_id, base)
             first = base % self.term.stretches.size == 0
             self.term.parts.set(
                 name,
@@ -122,19 +124,19 @@
             spec = records.job_from(value)
             if spec.more:
                 if rest is None:
-                    self.incomplete[spec.uid] = None
+                    self.incomplete[spec.job_id] = None
                     return
-                spec.awaits = (spec.awaits or []) + [
-                    uid
+                spec.depends_on = (spec.depends_on or []) + [
+                    job_id
                     for n in range(spec.more)
-                    for uid in records.awaits_from(rest.get(records.awaits_key(spec.uid, n)))
+                    for job_id in records.awaits_from(rest.get(records.awaits_key(spec.job_id, n)))
                 ]
         except Malformed as error:
             self.term.node.note("job record", f"{key}: {error}")
             return
         # An event may be older than the outcome; what is loaded is not over, though its outcome
         # may have been derived, and told, before it is written.
-        if loading or spec.uid not in self.term.node.finals:
+        if loading or spec.job_id not in self.term.node.finals:
             self.ledger.add_job(spec, self.now(), fresh=stamp > self.term.stamp)
 
     def add_job(self, spec: Submission) -> None:
@@ -142,7 +144,7 @@
 
         The answer to that write may come late: the job may have been seen, and ended, meanwhile.
         """
-        if spec.uid in self.term.node.finals:
+        if spec.job_id in self.term.node.finals:
             return
         self.ledger.add_job(spec, self.now(), fresh=True)
 
@@ -169,28 +171,28 @@
     async def await_loop(self) -> None:
         """What became of awaited jobs of which this term knows nothing, and long records."""
         while True:
-            for uid in [*self.incomplete, *self.ledger.pipelines.unsure]:
+            for job_id in [*self.incomplete, *self.ledger.pipelines.unsure]:
                 try:
-                    await self.look_up(uid)
+                    await self.look_up(job_id)
                 except TROUBLES as error:
                     self.term.node.note("awaited job", error)
                     await self.term.node.rest(0.5)
             await self.term.node.rest(AWAIT_GAP_S)
 
-    async def look_up(self, uid: str) -> None:
+    async def look_up(self, job_id: str) -> None:
         unsure = self.ledger.pipelines.unsure
-        found = self.term.node.finals.get(uid)
+        found = self.term.node.finals.get(job_id)
         if found is None or (found[0] == names.DONE and found[2] is None):
-            found = await self.term.node.ended(uid)
+            found = await self.term.node.ended(job_id)
         if found is not None:
-            self.incomplete.pop(uid, None)
-            if uid in unsure:
-                waiting.settle(self.ledger, uid, found[0], found[2], self.now())
+            self.incomplete.pop(job_id, None)
+            if job_id in unsure:
+                waiting.resolve(self.ledger, job_id, found[0], found[2], self.now())
             return
-        row = await self.term.store.get(records.job_key(uid))
+        row = await self.term.store.get(records.job_key(job_id))
         if row is None:
-            raise Unanswered(f"no record of {uid}")
-        if uid not in self.ledger.jobs:
+            raise Unanswered(f"no record of {job_id}")
+        if job_id not in self.ledger.jobs:
             spec = await self.term.node.whole(records.job_from(row[0]))
-            self.incomplete.pop(uid, None)
+            self.incomplete.pop(job_id, None)
             self.ledger.add_job(spec, self.now(), fresh=row[1] > self.term.stamp)
--- a/src/salthead/outcomes.py
+++ b/src/salthead/outcomes.py
@@ -3,7 +3,7 @@
 An outcome is *open* until it is sent to the state service, *in doubt* from then on until its fate
 is known, and *durable* once the service or a record read there says so. In doubt, another node may
 have read it and told a user, so nothing is told from memory; and a job whose cancellation is asked
-for is called off before anything is sent, so that its tasks are stopping whoever tells of it first.
+for is marked so before anything is sent, so that its tasks are stopping whoever tells of it first.
 """
 
 from __future__ import annotations
@@ -33,7 +33,7 @@
         self.term = term
         self.node = term.node
         self.ledger = term.ledger
-        self.due: dict[str, Job] = {}  # complete or called off, and not known to be durable
+        self.due: dict[str, Job] = {}  # complete or to be cancelled, and not known to be durable
         self.in_doubt: dict[str, str] = {}  # sent, by job, with the phase that was sent last
         self.wanted = asyncio.Event()
         self.tries: dict[str, asyncio.Future[None]] = {}  # of users who wait for a cancellation
@@ -41,9 +41,9 @@
     # -- what others ask ----------------------------------------------------------------
 
     def want(self, job: Job) -> None:
-        """The job is complete or called off: its outcome is to be written."""
+        """The job is complete or to be cancelled: its outcome is to be written."""
         if not job.over:
-            self.due[job.uid] = job
+            self.due[job.job_id] = job
             self.wanted.set()
 
     def doubtful(self, job: Job) -> bool:
@@ -53,10 +53,11 @@
         from here a moment ago, called it done; the same for what needs a job that is being
         cancelled. Seen on steady, prairie-ledger-lean.
         """
-        if job.uid in self.in_doubt:
+        if job.job_id in self.in_doubt:
             return True
         return job.awaiting and self.ledger.pipelines.needs(
-            job.uid, {uid for uid, phase in self.in_doubt.items() if phase == names.ABORTED}
+            job.job_id,
+            {job_id for job_id, phase in self.in_doubt.items() if phase == names.ABORTED},
         )
 
     async def cancel(self, job: Job) -> None:
@@ -64,10 +65,10 @@
         if not job.complete:
             # Before anything is sent: the write may be carried out without an answer, another node
             # then confirms the cancellation, and the state service may be down from then on.
-            self.ledger.call_off(job)
+            self.ledger.request_cancel(job)
             self.term.send_stops()
         self.want(job)
-        tried = self.tries.setdefault(job.uid, asyncio.get_running_loop().create_future())
+        tried = self.tries.setdefault(job.job_id, asyncio.get_running_loop().create_future())
         await asyncio.shield(tried)
 
     # -- writing ------------------------------------------------------------------------
@@ -97,15 +98,19 @@
 
     async def save(self) -> None:
         most = max(1, self.term.kept.txn_ops // 2)
-        while self.due or self.ledger.doomed:
+        while self.due or self.ledger.pending_aborts:
             # What users wait for, then what other jobs wait for; what follows from a durable
             # outcome may be told already, and a thousand of that must not hold up the rest.
             first = sorted(
                 self.due.values(),
-                key=lambda job: (not job.called_off, not self.ledger.pipelines.awaited(job.uid)),
+                key=lambda job: (
+                    not job.cancel_requested,
+                    not self.ledger.pipelines.awaited(job.job_id),
+                ),
             )
             await self.write(
-                first[:most] or [self.ledger.jobs[uid] for uid in islice(self.ledger.doomed, most)]
+                first[:most]
+                or [self.ledger.jobs[job_id] for job_id in islice(self.ledger.pending_aborts, most)]
             )
 
     async def write(self, jobs: list[Job]) -> None:
@@ -113,52 +118,60 @@
         term = self.term
         at = time.time()
         phases = {
-            job.uid: names.DONE if job.complete and not job.doomed else names.ABORTED
+            job.job_id: names.DONE
+            if job.complete and not job.dependency_cancelled
+            else names.ABORTED
             for job in jobs
         }
         apply: list[dict[str, Any]] = []
         for job in jobs:
             apply.append(
                 put(
-                    records.over_key(job.uid),
-                    records.over_value(job.spec, phases[job.uid], at, term.kept.value_kb),
+                    records.over_key(job.job_id),
+                    records.over_value(job.spec, phases[job.job_id], at, term.kept.value_kb),
                 )
             )
-            apply.append(drop(records.job_key(job.uid)))
+            apply.append(drop(records.job_key(job.job_id)))
         # A try that is refused was not carried out; those before it that had no answer may yet be.
-        fresh = [job.uid for job in jobs if job.uid not in self.in_doubt and not job.doomed]
-        self.in_doubt |= {job.uid: phases[job.uid] for job in jobs if not job.doomed}
+        fresh = [
+            job.job_id
+            for job in jobs
+            if job.job_id not in self.in_doubt and not job.dependency_cancelled
+        ]
+        self.in_doubt |= {
+            job.job_id: phases[job.job_id] for job in jobs if not job.dependency_cancelled
+        }
         try:
-            await term.txn({records.over_key(job.uid): 0 for job in jobs}, apply)
+            await term.txn({records.over_key(job.job_id): 0 for job in jobs}, apply)
         except Refused:
-            for uid in fresh:
-                del self.in_doubt[uid]
+            for job_id in fresh:
+                del self.in_doubt[job_id]
             raise
         except Conflict:
             # An earlier try took effect without an answer: what it wrote counts.
             known = 0
             for job in jobs:
-                found = await self.node.ended(job.uid)
+                found = await self.node.ended(job.job_id)
                 if found is not None:
                     known += 1
                     self.ended(job, found[0], found[2])
-                elif job.uid in fresh:
-                    del self.in_doubt[job.uid]
+                elif job.job_id in fresh:
+                    del self.in_doubt[job.job_id]
             if not known:
                 raise Unanswered("outcome in doubt") from None
             return
         for job in jobs:
-            self.ended(job, phases[job.uid], at)
+            self.ended(job, phases[job.job_id], at)
 
     def ended(self, job: Job, phase: str, at: float | None) -> None:
         """The outcome is durable, and may be told."""
-        uid = job.uid
-        self.node.final(uid, phase, job.spec.pieces, at)
+        job_id = job.job_id
+        self.node.final(job_id, phase, job.spec.task_count, at)
         self.term.tidy(job)
         self.ledger.end_job(job, phase, self.term.now())
-        self.due.pop(uid, None)
-        self.in_doubt.pop(uid, None)
-        tried = self.tries.pop(uid, None)
+        self.due.pop(job_id, None)
+        self.in_doubt.pop(job_id, None)
+        tried = self.tries.pop(job_id, None)
         if tried is not None and not tried.done():
             tried.set_result(None)
-        log.info("job %s %s", uid, phase)
+        log.info("job %s %s", job_id, phase)
--- a/src/salthead/protocol/interning.py
+++ b/src/salthead/protocol/interning.py
@@ -1,4 +1,4 @@
-"""Names become dense indices at the door; inside, only indices are compared."""
+"""Names become dense indices where they come in; inside, only indices are compared."""
 
 from __future__ import annotations
 
--- a/src/salthead/protocol/messages.py
+++ b/src/salthead/protocol/messages.py
@@ -1,4 +1,4 @@
-"""Messages as typed structures, and the checks that they pass at the door."""
+"""Messages as typed structures, and the checks that they pass on arrival."""
 
 from __future__ import annotations
 
@@ -13,9 +13,9 @@
 
 T = TypeVar("T")
 MAX_BODY = 64 * 1024
-MAX_PIECES = 100_000
+MAX_TASKS = 100_000
 # an id in any other form was never accepted, so it needs no look-up
-UID = re.compile(r"req-[0-9]{1,40}\Z")
+JOB_ID = re.compile(r"req-[0-9]{1,40}\Z")
 
 
 class Malformed(Exception):
@@ -29,37 +29,37 @@
 class Submission(msgspec.Struct, omit_defaults=True):
     """POST /work, which is also the record that is kept of it."""
 
-    uid: str
-    breed: Name
-    crew: Name
+    job_id: str = msgspec.field(name="uid")
+    job_class: Name = msgspec.field(name="breed")
+    team: Name = msgspec.field(name="crew")
     shape: Literal["array", "gang"]
     urgency: Literal["prod", "urgent", "normal", "idle"]
-    pieces: int
+    task_count: int = msgspec.field(name="pieces")
     vcpus: float
     ram_gb: float
     accelerators: float = 0.0
-    kit: Name | None = None
+    image: Name | None = msgspec.field(name="kit", default=None)
     image_gb: float = 0.0
-    builds: list[str] | None = None
-    paddock: Name | None = None
-    same_place: bool = False
-    apart: bool = False
-    borrowed: bool = False
-    guess_s: float = 0.0
-    cairn_s: float = 0.0
-    stow_s: float = 0.0
-    due_s: float | None = None
+    machine_types: list[str] | None = msgspec.field(name="builds", default=None)
+    zone: Name | None = msgspec.field(name="paddock", default=None)
+    single_zone: bool = msgspec.field(name="same_place", default=False)
+    spread_zones: bool = msgspec.field(name="apart", default=False)
+    spot: bool = msgspec.field(name="borrowed", default=False)
+    estimated_run_s: float = msgspec.field(name="guess_s", default=0.0)
+    checkpoint_interval_s: float = msgspec.field(name="cairn_s", default=0.0)
+    checkpoint_save_s: float = msgspec.field(name="stow_s", default=0.0)
+    deadline_s: float | None = msgspec.field(name="due_s", default=None)
     # jobs that have to be done before any task of this one starts
-    awaits: list[str] | None = None
+    depends_on: list[str] | None = msgspec.field(name="awaits", default=None)
     # ours: the time of day at which the record was written
     at: float = 0.0
-    # ours: how many further values hold the rest of a long list of jobs that it awaits
+    # ours: how many further values hold the rest of a long list of jobs that it depends on
     more: int = 0
 
 
-# What a user has to give: all that the protocol's page does not let be null, which alone may be
-# left out. Records and what nodes pass on leave out what has its usual value.
-GIVEN = (
+# What a user has to give, by wire names: all that the protocol's page does not let be null, which
+# alone may be left out. Records and what nodes forward leave out what has its usual value.
+REQUIRED_FIELDS = (
     "uid",
     "breed",
     "crew",
@@ -80,8 +80,10 @@
 )
 
 
-class Piece(msgspec.Struct):
-    piece: str
+class TaskReport(msgspec.Struct):
+    """One task on a machine, as its worker reports it."""
+
+    task_id: str = msgspec.field(name="piece")
     attempt: int = msgspec.field(name="try")
     phase: str
     cause: str | None = None
@@ -91,24 +93,26 @@
 class Report(msgspec.Struct):
     """POST /hello."""
 
-    saltlick: str
-    tenure: int
-    tally: int
-    baton: int = 0
+    worker: str = msgspec.field(name="saltlick")
+    session: int = msgspec.field(name="tenure")
+    sequence: int = msgspec.field(name="tally")
+    fencing_token: int = msgspec.field(name="baton", default=0)
     endpoint: str = ""
-    build: str = ""
-    paddock: str = ""
-    borrowed: bool = False
+    machine_type: str = msgspec.field(name="build", default="")
+    zone: str = msgspec.field(name="paddock", default="")
+    spot: bool = msgspec.field(name="borrowed", default=False)
     warning_s: float | None = None
-    pieces: list[Piece] = []
+    tasks: list[TaskReport] = msgspec.field(name="pieces", default_factory=list)
+
 
+class MachineType(msgspec.Struct):
+    """A type of machine that the cloud rents."""
 
-class Flavor(msgspec.Struct):
     name: str
     vcpus: float
     ram_gb: float
     rate: float
-    paddocks: list[str]
+    zones: list[str] = msgspec.field(name="paddocks")
     accelerators: float = 0.0
     local_gb: float = 0.0
     pull_gb_per_s: float = 1.0
@@ -116,27 +120,35 @@
     boot_s: float = 0.0
 
 
-class Flavors(msgspec.Struct):
-    builds: list[Flavor]
+class MachineTypes(msgspec.Struct):
+    """GET /flavors."""
+
+    machine_types: list[MachineType] = msgspec.field(name="builds")
 
 
-class Host(msgspec.Struct):
-    uid: str
-    build: str
-    paddock: str
+class ListedMachine(msgspec.Struct):
+    """One machine in the cloud's list."""
+
+    name: str = msgspec.field(name="uid")
+    machine_type: str = msgspec.field(name="build")
+    zone: str = msgspec.field(name="paddock")
     phase: str
-    borrowed: bool = False
+    spot: bool = msgspec.field(name="borrowed", default=False)
     endpoint: str | None = ""
     age_s: float = 0.0
 
 
-class Hosts(msgspec.Struct):
-    saltlicks: list[Host]
+class MachineList(msgspec.Struct):
+    """GET /hosts."""
+
+    machines: list[ListedMachine] = msgspec.field(name="saltlicks")
     truncated: bool = False
 
 
-class Hired(msgspec.Struct):
-    saltlicks: list[str]
+class RentedMachines(msgspec.Struct):
+    """The answer to POST /hosts."""
+
+    machines: list[str] = msgspec.field(name="saltlicks")
 
 
 def encode(message: Any) -> bytes:
@@ -174,76 +186,88 @@
     return shape(decode_map(body), kind)
 
 
+# Amounts of a submission that must be finite and not negative: attribute and wire name.
+AMOUNTS = (
+    ("vcpus", "vcpus"),
+    ("accelerators", "accelerators"),
+    ("ram_gb", "ram_gb"),
+    ("image_gb", "image_gb"),
+    ("estimated_run_s", "guess_s"),
+    ("checkpoint_interval_s", "cairn_s"),
+    ("checkpoint_save_s", "stow_s"),
+)
+
+
 def finite(value: float, low: float, what: str) -> None:
     if not low <= value < 1e12:  # also refuses what is not a number
         raise Malformed(f"{what}: out of range")
 
 
-def decode_submission(body: bytes, passed_on: bool = False) -> Submission:
+def decode_submission(body: bytes, forwarded: bool = False) -> Submission:
     """POST /work in full, or Malformed (400) with a short reason.
 
-    ``passed_on``: by another node, which has checked that no field is missing.
+    ``forwarded``: by another node, which has checked that no field is missing.
     """
     if len(body) > MAX_BODY:
         raise Malformed("body over 64 KiB")
     found = decode_map(body)
-    if not passed_on:
-        for name in GIVEN:
+    if not forwarded:
+        for name in REQUIRED_FIELDS:
             if found.get(name) is None:
                 raise Malformed(f"{name}: missing")
     job = shape(found, Submission)
-    if not UID.match(job.uid):
+    if not JOB_ID.match(job.job_id):
         raise Malformed("uid: not of the form req-DIGITS")
-    if not 1 <= job.pieces <= MAX_PIECES:
+    if not 1 <= job.task_count <= MAX_TASKS:
         raise Malformed("pieces: out of range")
-    for what in ("vcpus", "accelerators", "ram_gb", "image_gb", "guess_s", "cairn_s", "stow_s"):
-        finite(getattr(job, what), 0.0, what)
-    if job.due_s is not None:
-        finite(job.due_s, 0.0, "due_s")
+    for attribute, wire_name in AMOUNTS:
+        finite(getattr(job, attribute), 0.0, wire_name)
+    if job.deadline_s is not None:
+        finite(job.deadline_s, 0.0, "due_s")
     if job.vcpus <= 0 and job.accelerators <= 0 and job.ram_gb <= 0:
         raise Malformed("vcpus: a task must take something")
-    if job.awaits is not None:
-        job.awaits = list(dict.fromkeys(job.awaits)) or None
+    if job.depends_on is not None:
+        job.depends_on = list(dict.fromkeys(job.depends_on)) or None
     job.at, job.more = 0.0, 0
     return job
 
 
 def decode_report(body: bytes) -> Report:
     report = decode(body, Report)
-    if not report.saltlick or report.tenure < 1 or report.tally < 0 or report.baton < 0:
+    if not report.worker or report.session < 1 or report.sequence < 0 or report.fencing_token < 0:
         raise Malformed("saltlick, tenure, tally or baton: out of range")
     return report
 
 
 @functools.lru_cache(maxsize=20_000)
-def split_piece(text: str) -> tuple[str, int]:
+def split_task_id(text: str) -> tuple[str, int]:
     """``req-000412/3`` as its job and its number."""
-    uid, _, number = text.rpartition("/")
-    if not UID.match(uid) or not number.isascii() or not number.isdigit():
+    job_id, _, number = text.rpartition("/")
+    if not JOB_ID.match(job_id) or not number.isascii() or not number.isdigit():
         raise Malformed(f"piece: {text[:60]!r}")
-    return uid, int(number)
+    return job_id, int(number)
 
 
 def status_body(
-    uid: str,
+    job_id: str,
     phase: str,
     done: int = 0,
     running: int = 0,
-    awaits: list[str] | None = None,
+    depends_on: list[str] | None = None,
 ) -> dict[str, Any]:
-    found: dict[str, Any] = {"uid": uid, "phase": phase, "done": done, "running": running}
-    if awaits:
-        found["awaits"] = awaits
+    found: dict[str, Any] = {"uid": job_id, "phase": phase, "done": done, "running": running}
+    if depends_on:
+        found["awaits"] = depends_on
     return found
 
 
-def start_order(piece: str, attempt: int) -> dict[str, Any]:
-    return {"verb": names.START, "piece": piece, "try": attempt}
+def start_order(task_id: str, attempt: int) -> dict[str, Any]:
+    return {"verb": names.START, "piece": task_id, "try": attempt}
 
 
-def stop_order(piece: str, attempt: int, leeway_s: float) -> dict[str, Any]:
-    return {"verb": names.STOP, "piece": piece, "try": attempt, "leeway_s": leeway_s}
+def stop_order(task_id: str, attempt: int, grace_s: float) -> dict[str, Any]:
+    return {"verb": names.STOP, "piece": task_id, "try": attempt, "leeway_s": grace_s}
 
 
-def reap_order(piece: str, attempt: int) -> dict[str, Any]:
-    return {"verb": names.REAP, "piece": piece, "try": attempt}
+def reap_order(task_id: str, attempt: int) -> dict[str, Any]:
+    return {"verb": names.REAP, "piece": task_id, "try": attempt}
--- a/src/salthead/protocol/names.py
+++ b/src/salthead/protocol/names.py
@@ -24,7 +24,7 @@
 PEER_SUBMIT = "/peer/submit"
 PEER_POLL = "/peer/poll"
 PEER_CANCEL = "/peer/cancel"
-PEER_KNOCKS = "/peer/knocks"
+PEER_REDIRECTED = "/peer/knocks"
 PEER_OVERVIEW = "/peer/overview"
 PEER_PROMISE = "/peer/promise"
 
--- a/src/salthead/rental.py
+++ b/src/salthead/rental.py
@@ -14,7 +14,7 @@
 from salthead.coordination import fleet
 from salthead.coordination.model import BOOTING, Machine
 from salthead.protocol import names
-from salthead.protocol.messages import Flavor, Hired, Hosts, Malformed, shape
+from salthead.protocol.messages import MachineList, MachineType, Malformed, RentedMachines, shape
 from salthead.transport.client import Unanswered
 from salthead.transport.limits import Budget
 
@@ -42,28 +42,30 @@
         self.refusals = fleet.Refusals()
         # A quarter is left for the other nodes' reads of machine types.
         self.cloud_budget = Budget(term.limits.cloud.rps * 0.7, term.limits.cloud.rps, term.now)
-        self.flavors_stored: list[Flavor] = []
+        self.machine_types_stored: list[MachineType] = []
 
-    async def store_flavors(self) -> None:
+    async def store_machine_types(self) -> None:
         """Machine types for nodes that start while the cloud's interface is down."""
-        flavors = list(self.term.node.flavors.values())
-        if not flavors or flavors == self.flavors_stored:
+        machine_types = list(self.term.node.machine_types.values())
+        if not machine_types or machine_types == self.machine_types_stored:
             return
         there, _ = await self.term.store.rows(records.MORE_FLAVORS)
-        rows = dict(records.flavors_rows(msgspec.to_builtins(flavors), self.term.kept.value_kb))
+        rows = dict(
+            records.machine_type_rows(msgspec.to_builtins(machine_types), self.term.kept.value_kb)
+        )
         changes = [put(key, value) for key, value in rows.items()]
         changes += [drop(key) for key in there if key not in rows]
         for at in range(0, len(changes), self.term.kept.txn_ops):
             await self.term.txn({}, changes[at : at + self.term.kept.txn_ops])
-        self.flavors_stored = flavors
+        self.machine_types_stored = machine_types
 
     async def list_loop(self) -> None:
         while True:
             try:
-                await self.store_flavors()
+                await self.store_machine_types()
             except records.TooLong as error:
                 self.term.node.note("flavors", error)
-                self.flavors_stored = list(self.term.node.flavors.values())
+                self.machine_types_stored = list(self.term.node.machine_types.values())
             except (Conflict, *TROUBLES) as error:
                 self.term.node.note("flavors", error)
             try:
@@ -82,24 +84,24 @@
             answer = await self.term.node.cloud.call("GET", names.HOSTS, query=query, timeout=3.0)
             if answer.status != 200:
                 raise Refused(answer.status, "cloud list")
-            page = shape(answer.body, Hosts)
+            page = shape(answer.body, MachineList)
             now = self.now()
-            for host in page.saltlicks:
-                start = host.uid
-                if host.uid in self.ledger.recently_gone:
+            for host in page.machines:
+                start = host.name
+                if host.name in self.ledger.recently_gone:
                     continue  # the list lags
-                known = host.uid in self.ledger.machines
+                known = host.name in self.ledger.machines
                 machine = self.ledger.add_machine(
-                    host.uid, host.build, host.paddock, host.borrowed, now
+                    host.name, host.machine_type, host.zone, host.spot, now
                 )
                 if not known:
-                    log.info("machine %s found in the list (%s)", host.uid, host.phase)
+                    log.info("machine %s found in the list (%s)", host.name, host.phase)
                     machine.hired_at = now - host.age_s
                 elif machine.phase == BOOTING:
                     machine.hired_at = min(machine.hired_at, now - host.age_s)
                 if host.phase == names.FAILED and not machine.condemned:
                     machine.condemned = "failed"
-                    log.info("machine %s failed", host.uid)
+                    log.info("machine %s failed", host.name)
             if not page.truncated:
                 return
 
@@ -126,17 +128,17 @@
             await self.term.node.rest(max(PLAN_LEAST_GAP_S, REST_FACTOR * (self.now() - began)))
 
     async def hire(self, kind: fleet.Kind, count: int) -> None:
-        build, zone, borrowed = kind
+        machine_type, zone, spot = kind
         self.hire_count += 1
         name = f"{self.term.token}-{self.hire_count}"
         self.coming[kind] = self.coming.get(kind, 0) + count
-        type_name, zone_name = self.ledger.builds[build], self.ledger.zones[zone]
+        type_name, zone_name = self.ledger.type_names[machine_type], self.ledger.zones[zone]
         body = {
             "hire": name,
             "build": type_name,
             "how_many": count,
             "paddock": zone_name,
-            "borrowed": borrowed,
+            "borrowed": spot,
         }
         got = 0
         try:
@@ -153,10 +155,10 @@
                     if answer.body.get("error") != "no capacity":
                         self.term.node.note("hire", f"{answer.status} {answer.body}")
                     break
-                hosts = shape(answer.body, Hired).saltlicks
+                hosts = shape(answer.body, RentedMachines).machines
                 now = self.now()
                 for host in hosts:
-                    self.ledger.add_machine(host, type_name, zone_name, borrowed, now)
+                    self.ledger.add_machine(host, type_name, zone_name, spot, now)
                 got = len(hosts)
                 break
         except Malformed as error:
@@ -170,7 +172,7 @@
             count,
             type_name,
             zone_name,
-            " borrowed" if borrowed else "",
+            " spot" if spot else "",
         )
         if got < count:
             self.refusals.refused(kind, self.now())
--- a/src/salthead/serve.py
+++ b/src/salthead/serve.py
@@ -7,7 +7,6 @@
 from __future__ import annotations
 
 import argparse
-import asyncio
 import gc
 import logging
 import os
--- a/src/salthead/service.py
+++ b/src/salthead/service.py
@@ -27,12 +27,12 @@
     put,
 )
 from salthead.coordination import lease
-from salthead.coordination.keeping import Keeper
+from salthead.coordination.zone_leases import ZoneLease
 from salthead.protocol import names
 from salthead.protocol.messages import (
-    UID,
-    Flavor,
-    Flavors,
+    JOB_ID,
+    MachineType,
+    MachineTypes,
     Report,
     Submission,
     shape,
@@ -45,7 +45,7 @@
 log = logging.getLogger("salthead.service")
 
 # A worker whose leader hangs tries the next node after its time-out of 4 s and 1 s more.
-KNOCK_S = 6.0
+REDIRECT_WINDOW_S = 6.0
 LAG_EVERY_S, LAG_MOST_S = 0.25, 0.5
 # The load balancer's probes are about this far apart.
 REACH_S = 1.0
@@ -113,10 +113,10 @@
         self.cloud = dial(settings.endpoints.cloud, Sockets.CLOUD)
         self.peers = {seed.member: dial(seed.endpoint, Sockets.PEER) for seed in settings.seeds}
         self.workers = dial("", self.sockets.workers)
-        self.flavors: dict[str, Flavor] = {}
+        self.machine_types: dict[str, MachineType] = {}
         self.leader: str | None = None  # the member that leads, as last read
         self.leader_token = 0
-        self.keeper = Keeper(lease.leader_ttl(self.limits.workers.lease_s))
+        self.zone_lease = ZoneLease(lease.leader_ttl(self.limits.workers.lease_s))
         self.term: Term | None = None
         self.abstention = lease.Abstention(
             lease.leader_ttl(self.limits.workers.lease_s), self.now()
@@ -130,7 +130,9 @@
         self.submitting = 0
         self.reached = now()  # when another node last answered
         self.others_served = -1e9  # when another node last said that the state service serves it
-        self.knocks: dict[str, float] = {}  # workers that this node sent to the leader, and when
+        self.redirected: dict[
+            str, float
+        ] = {}  # workers that this node sent to the leader, and when
 
     # -- small helpers ------------------------------------------------------------------
 
@@ -146,14 +148,14 @@
         """A pause with jitter, so that nodes do not ask in step."""
         await asyncio.sleep(seconds * self.rng.uniform(0.8, 1.2))
 
-    def final(self, uid: str, phase: str, pieces: int, at: float | None = None) -> None:
-        if at is not None or uid not in self.finals:
-            self.finals[uid] = (phase, pieces, at)
+    def final(self, job_id: str, phase: str, task_count: int, at: float | None = None) -> None:
+        if at is not None or job_id not in self.finals:
+            self.finals[job_id] = (phase, task_count, at)
         if len(self.finals) > FINALS_KEPT:
             self.finals.popitem(last=False)
 
     def remember(self, spec: Submission) -> None:
-        self.accepted[spec.uid] = spec.awaits or []
+        self.accepted[spec.job_id] = spec.depends_on or []
         if len(self.accepted) > FINALS_KEPT:
             self.accepted.popitem(last=False)
 
@@ -167,7 +169,7 @@
     async def run(self) -> None:
         async with asyncio.TaskGroup() as group:
             group.create_task(self.elect_loop())
-            group.create_task(self.flavor_loop())
+            group.create_task(self.machine_types_loop())
             group.create_task(self.lag_loop())
             group.create_task(self.reach_loop())
             group.create_task(self.keep_loop())
@@ -193,14 +195,14 @@
                 )
 
     async def reach(self, peer: Caller) -> None:
-        answer = await peer.call("POST", names.PEER_KNOCKS, timeout=REACH_S)
+        answer = await peer.call("POST", names.PEER_REDIRECTED, timeout=REACH_S)
         self.reached = self.now()
         served = answer.body.get("served_s")
         if type(served) is float and served < 2.0 * REACH_S:
             self.others_served = self.now()
 
     def knocks_body(self) -> dict[str, Any]:
-        return {"knocks": self.knocked(), "served_s": self.now() - self.store.answered}
+        return {"knocks": self.redirected_count(), "served_s": self.now() - self.store.answered}
 
     def refused_alone(self) -> bool:
         """Whether the state service serves others, but not this node: it can take no job."""
@@ -211,7 +213,7 @@
 
     async def keep_loop(self) -> None:
         """Behind a cut from the leader, with the state service in reach: keep workers' leases."""
-        ttl = self.keeper.ttl
+        ttl = self.zone_lease.ttl
         key, answer = records.KEEP + self.settings.member, records.KEPT + self.settings.member
         written = True  # an earlier process of this member may have left its wish behind
         missed = 0
@@ -222,13 +224,13 @@
                 missed = 0
             else:
                 try:
-                    await peer.call("POST", names.PEER_KNOCKS, timeout=ttl / 8.0)
+                    await peer.call("POST", names.PEER_REDIRECTED, timeout=ttl / 8.0)
                     missed = 0
                 except Unanswered:
                     missed += 1
             try:
                 if missed >= 2:
-                    wish = self.keeper.ask(
+                    wish = self.zone_lease.ask(
                         self.leader_token, uuid.uuid4().hex[:12], self.settings.area, self.now()
                     )
                     written = True
@@ -236,10 +238,10 @@
                     for _ in range(4):
                         await self.rest(ttl / 24.0)
                         row = await self.store.get(answer, urgent=True)
-                        if row is not None and self.keeper.allowed(row[0]):
+                        if row is not None and self.zone_lease.allowed(row[0]):
                             break
                 elif written:
-                    self.keeper.stop()
+                    self.zone_lease.stop()
                     row = await self.store.get(key, urgent=True)
                     if row is not None:
                         # On condition of its stamp: carried out late, it must not take away a
@@ -252,15 +254,15 @@
     def keeps(self, report: Report) -> bool:
         """Whether to answer a worker in the name of a leader that it can't reach."""
         now = self.now()
-        back = self.keeper.came_back(report.saltlick, now)
+        back = self.zone_lease.came_back(report.worker, now)
         return (
             self.leader not in (None, self.settings.member)
-            and self.keeper.valid(self.leader_token, now)
-            and report.paddock == self.settings.area
-            and report.baton <= self.leader_token
+            and self.zone_lease.valid(self.leader_token, now)
+            and report.zone == self.settings.area
+            and report.fencing_token <= self.leader_token
             # A worker may be here by chance. A second one, or one that was sent on before and is
             # here again, can't reach it, and their leases may not last for another round.
-            and (back or self.knocked() > 0)
+            and (back or self.redirected_count() > 0)
         )
 
     def cut_off(self) -> bool:
@@ -270,7 +272,7 @@
         return self.now() - max(self.store.answered, self.reached) > patience
 
     def up(self) -> bool:
-        return bool(self.flavors) and not self.cut_off() and not self.refused_alone()
+        return bool(self.machine_types) and not self.cut_off() and not self.refused_alone()
 
     def overloaded(self) -> bool:
         """Whether submissions are shed, so that reports and decisions keep their turn.
@@ -280,34 +282,34 @@
         """
         return self.lag > LAG_MOST_S or self.submitting >= max(4.0, self.kept.write_rps)
 
-    async def flavor_loop(self) -> None:
+    async def machine_types_loop(self) -> None:
         """Machine types: from the cloud, or as an earlier leader stored them."""
         while True:
             try:
                 answer = await self.cloud.call("GET", names.FLAVORS, timeout=3.0)
                 if answer.status != 200:
                     raise Refused(answer.status, "flavors")
-                self.take_flavors(shape(answer.body, Flavors).builds)
+                self.take_machine_types(shape(answer.body, MachineTypes).machine_types)
                 await self.rest(60.0)
                 continue
             except (Conflict, *TROUBLES) as error:
                 self.note("cloud flavors", error)
-            if not self.flavors:
+            if not self.machine_types:
                 try:
                     rows, _ = await self.store.rows(records.MORE_FLAVORS)
-                    found = records.flavors_from({key: row[0] for key, row in rows.items()})
+                    found = records.machine_types_from({key: row[0] for key, row in rows.items()})
                     if found is None and (row := await self.store.get(records.FLAVORS)) is not None:
                         found = row[0]
                     if found is not None:
-                        self.take_flavors(shape(found, Flavors).builds)
+                        self.take_machine_types(shape(found, MachineTypes).machine_types)
                 except (Conflict, *TROUBLES) as error:
                     self.note("stored flavors", error)
             await self.rest(2.0)
 
-    def take_flavors(self, flavors: list[Flavor]) -> None:
-        self.flavors = {flavor.name: flavor for flavor in flavors}
+    def take_machine_types(self, machine_types: list[MachineType]) -> None:
+        self.machine_types = {machine_type.name: machine_type for machine_type in machine_types}
         if self.term is not None:
-            self.term.ledger.set_flavors(flavors)
+            self.term.ledger.set_machine_types(machine_types)
             self.term.wake()
 
     async def elect_loop(self) -> None:
@@ -409,73 +411,75 @@
 
     def redirect(self, who: str) -> tuple[int, dict[str, Any]]:
         """The answer to a report of a node that may not act on it."""
-        self.knocks[who] = self.now()
+        self.redirected[who] = self.now()
         if self.leader not in (None, self.settings.member) and not self.cut_off():
             return 421, {"herder": self.leader}
         return 503, {"error": "no leader"}
 
-    def knocked(self) -> int:
+    def redirected_count(self) -> int:
         """How many workers came here lately although another node leads."""
-        since = self.now() - KNOCK_S
-        self.knocks = {who: at for who, at in self.knocks.items() if at >= since}
-        return len(self.knocks)
+        since = self.now() - REDIRECT_WINDOW_S
+        self.redirected = {who: at for who, at in self.redirected.items() if at >= since}
+        return len(self.redirected)
 
     def on_report(self, report: Report, who: str = "") -> tuple[int, dict[str, Any]]:
         term = self.leading()
         if term is None:
             if self.keeps(report):
-                self.knocks[who or report.saltlick] = self.now()
+                self.redirected[who or report.worker] = self.now()
                 return 200, {"baton": self.leader_token, "orders": []}
-            return self.redirect(who or report.saltlick)
+            return self.redirect(who or report.worker)
         orders = term.on_report(report)
         if orders is None:
             return 503, {"error": "not for this report"}
         if not term.valid():
             # It ran out while this was worked out, on a machine with little processor time: a 200
             # now would be given by one that is not entitled to. What was ordered stays bound.
-            return self.redirect(who or report.saltlick)
+            return self.redirect(who or report.worker)
         return 200, {"baton": term.token, "orders": orders}
 
     # -- what users ask -----------------------------------------------------------------
 
     def check(self, job: Submission) -> None:
         """422 and 503 by what is known of teams and machine types."""
-        team = next((team for team in self.limits.teams if team.name == job.crew), None)
+        team = next((team for team in self.limits.teams if team.name == job.team), None)
         if team is None:
-            raise Rejected(f"unknown team {job.crew[:60]}")
-        many = job.pieces if job.shape == names.GANG else 1
+            raise Rejected(f"unknown team {job.team[:60]}")
+        many = job.task_count if job.shape == names.GANG else 1
         gpus = job.accelerators * many
         if job.vcpus * many > team.cpus_max + 1e-6 or gpus > team.gpus_max + 1e-6:
             raise Rejected("more than the team's limit")
-        if not self.flavors:
+        if not self.machine_types:
             raise Later("machine types not known yet")
         if not any(
             job.vcpus <= f.vcpus
             and job.accelerators <= f.accelerators
             and job.ram_gb <= f.ram_gb
-            and (job.builds is None or f.name in job.builds)
-            and (job.paddock is None or job.paddock in f.paddocks)
-            for f in self.flavors.values()
+            and (job.machine_types is None or f.name in job.machine_types)
+            and (job.zone is None or job.zone in f.zones)
+            for f in self.machine_types.values()
         ):
             raise Rejected("a task fits no allowed machine type")
-        if job.builds is not None:  # only names that exist are kept
-            job.builds = sorted({name for name in job.builds if name in self.flavors})
+        if job.machine_types is not None:  # only names that exist are kept
+            job.machine_types = sorted(
+                {name for name in job.machine_types if name in self.machine_types}
+            )
 
     async def submit(
         self,
         job: Submission,
-        passed_on: bool = False,
+        forwarded: bool = False,
     ) -> tuple[int, dict[str, Any]]:
         """POST /work: status and body, or one of the errors that mean 4xx or 503."""
         if self.overloaded():
             raise Later("overloaded")
         self.submitting += 1
         try:
-            return await self.accept(job, passed_on)
+            return await self.accept(job, forwarded)
         finally:
             self.submitting -= 1
 
-    async def pass_on(self, job: Submission) -> tuple[int, dict[str, Any]]:
+    async def forward_submission(self, job: Submission) -> tuple[int, dict[str, Any]]:
         """Let another node accept a job that this one can't write: the service may refuse this
         node alone. A job has one id, so that two nodes may try to accept it."""
         for peer in self.peers.values() if self.refused_alone() else ():
@@ -486,28 +490,28 @@
             except Unanswered as error:
                 self.note("pass on", error)
                 continue
-            if answer.status in (200, 201) and answer.body.get("uid") == job.uid:
+            if answer.status in (200, 201) and answer.body.get("uid") == job.job_id:
                 return answer.status, answer.body
         raise Later("the state service does not answer")
 
     async def accept(
         self,
         job: Submission,
-        passed_on: bool,
+        forwarded: bool,
     ) -> tuple[int, dict[str, Any]]:
-        known = self.finals.get(job.uid)
+        known = self.finals.get(job.job_id)
         if known is not None:
-            return 200, status_body(job.uid, known[0], known[1] if known[0] == names.DONE else 0)
+            return 200, status_body(job.job_id, known[0], known[1] if known[0] == names.DONE else 0)
         term = self.leading()
-        if term is not None and job.uid in term.ledger.jobs:
-            found = await self.poll_here(term, job.uid)
+        if term is not None and job.job_id in term.ledger.jobs:
+            found = await self.poll_here(term, job.job_id)
             if found is not None:
                 return 200, found
-        doomed = False
+        dependency_cancelled = False
         try:
             self.check(job)
-            if job.awaits:
-                doomed = await self.check_awaits(job)
+            if job.depends_on:
+                dependency_cancelled = await self.check_awaits(job)
             # The time is noted before the record is made, for what it takes up in it.
             job.at = time.time()
             rows = records.job_rows(job, self.kept.value_kb, self.kept.txn_ops)
@@ -518,63 +522,63 @@
             reject = error
         if reject is not None:
             # A repeat of a job that was accepted must not be refused, whatever changed since.
-            if (found := await self.read(job.uid)) is not None:
+            if (found := await self.read(job.job_id)) is not None:
                 return 200, found
             raise reject
-        if doomed:
+        if dependency_cancelled:
             # What it needs was cancelled, so its outcome is known before it is written.
             rows = [
                 (
-                    records.over_key(job.uid),
+                    records.over_key(job.job_id),
                     records.over_value(job, names.ABORTED, job.at, self.kept.value_kb),
                 )
             ]
         try:
             await self.store.txn(
-                {records.job_key(job.uid): 0, records.over_key(job.uid): 0},
+                {records.job_key(job.job_id): 0, records.over_key(job.job_id): 0},
                 [put(key, value) for key, value in rows],
             )
         except (Refused, Unanswered):
-            if passed_on:
+            if forwarded:
                 raise
-            return await self.pass_on(job)
+            return await self.forward_submission(job)
         except Conflict:
-            found = await self.read(job.uid)
+            found = await self.read(job.job_id)
             if found is None:
                 raise Later("in doubt") from None
             return 200, found
-        log.debug("accepted %s: %d tasks", job.uid, job.pieces)
-        if doomed:
-            self.final(job.uid, names.ABORTED, job.pieces, job.at)
-            return 201, {"uid": job.uid, "phase": names.ABORTED}
+        log.debug("accepted %s: %d tasks", job.job_id, job.task_count)
+        if dependency_cancelled:
+            self.final(job.job_id, names.ABORTED, job.task_count, job.at)
+            return 201, {"uid": job.job_id, "phase": names.ABORTED}
         job.more = len(rows) - 1
         self.remember(job)
         term = self.leading()
         if term is not None and term.ledger.loaded:
-            term.feed.add_job(job)
-        return 201, {"uid": job.uid, "phase": names.QUEUED}
+            term.job_records.add_job(job)
+        return 201, {"uid": job.job_id, "phase": names.QUEUED}
 
     async def check_awaits(self, job: Submission) -> bool:
         """Whether a job that this one needs was cancelled; Rejected if one was never accepted."""
-        awaits = job.awaits or []
-        for uid in awaits:
-            if uid == job.uid or not UID.match(uid):
-                raise Rejected(f"awaits: {uid[:60]!r} is no job that was accepted")
-        return await self.cut_short(awaits, self.now() + LOOK_UP_S, every=True)
+        depends_on = job.depends_on or []
+        for job_id in depends_on:
+            if job_id == job.job_id or not JOB_ID.match(job_id):
+                raise Rejected(f"awaits: {job_id[:60]!r} is no job that was accepted")
+        return await self.depends_on_cancelled(depends_on, self.now() + LOOK_UP_S, every=True)
 
     async def whole(self, spec: Submission) -> Submission:
         """A job with all that it awaits, where its record is continued in further values."""
-        awaits = list(spec.awaits or [])
+        depends_on = list(spec.depends_on or [])
         for n in range(spec.more):
-            row = await self.store.get(records.awaits_key(spec.uid, n))
+            row = await self.store.get(records.awaits_key(spec.job_id, n))
             if row is None:
                 raise Unanswered("job record: a part is missing")
-            awaits += records.awaits_from(row[0])
-        return msgspec.structs.replace(spec, awaits=awaits or None)
+            depends_on += records.awaits_from(row[0])
+        return msgspec.structs.replace(spec, depends_on=depends_on or None)
 
-    async def cut_short(
+    async def depends_on_cancelled(
         self,
-        awaits: list[str],
+        depends_on: list[str],
         end: float = math.inf,
         every: bool = False,
     ) -> bool:
@@ -588,133 +592,137 @@
         whose own outcome is known needs no look at what is before it. Rejected: one of them was
         never accepted.
         """
-        seen, line = set(awaits), deque(awaits)
-        named, cut = set(awaits), False
+        seen, line = set(depends_on), deque(depends_on)
+        named, cut = set(depends_on), False
         active: dict[str, Row] | None = None
         reads = 0
         while line:
-            uid = line.popleft()
-            if cut and uid not in named:
+            job_id = line.popleft()
+            if cut and job_id not in named:
                 break  # those that are named come first
             if self.now() > end:
                 raise Later("still looking up the jobs that it awaits")
             found: str | None = None
             term = self.leading()
-            if uid in self.finals:
-                found = self.finals[uid][0]
+            if job_id in self.finals:
+                found = self.finals[job_id][0]
             elif (
                 term is not None
-                and uid not in term.outcomes.in_doubt
-                and (job := term.ledger.jobs.get(uid)) is not None
+                and job_id not in term.outcomes.in_doubt
+                and (job := term.ledger.jobs.get(job_id)) is not None
             ):
-                found = job.over or (names.ABORTED if job.doomed else None)
+                found = job.over or (names.ABORTED if job.dependency_cancelled else None)
                 self.remember(job.spec)
             else:
                 if reads == LOOK_UPS:  # deep or wide: all jobs that are not over at once
                     active, _ = await self.store.rows(records.JOBS)
                 reads += 1
-                row = active.get(records.job_key(uid)) if active is not None else None
-                found = await self.look_up(uid, row)
+                row = active.get(records.job_key(job_id)) if active is not None else None
+                found = await self.look_up(job_id, row)
             if found == names.ABORTED:
                 if not every:
                     return True
                 cut = True
-            for before in self.accepted.get(uid, ()) if found is None else ():
+            for before in self.accepted.get(job_id, ()) if found is None else ():
                 if before not in seen:
                     seen.add(before)
                     line.append(before)
         return cut
 
-    async def look_up(self, uid: str, row: Row | None) -> str | None:
+    async def look_up(self, job_id: str, row: Row | None) -> str | None:
         """A job's outcome, or None when it is not over and what it awaits is known."""
         if row is None:
-            if (ended := await self.ended(uid)) is not None:
+            if (ended := await self.ended(job_id)) is not None:
                 return ended[0]
-            if uid in self.accepted:
+            if job_id in self.accepted:
                 return None
-            row = await self.store.get(records.job_key(uid))
+            row = await self.store.get(records.job_key(job_id))
         if row is None:  # it has ended since, or was never accepted
-            if (ended := await self.ended(uid)) is not None:
+            if (ended := await self.ended(job_id)) is not None:
                 return ended[0]
-            raise Rejected(f"awaits: {uid} was never accepted")
-        if uid not in self.accepted:
+            raise Rejected(f"awaits: {job_id} was never accepted")
+        if job_id not in self.accepted:
             self.remember(await self.whole(records.job_from(row[0])))
         return None
 
-    async def ended(self, uid: str) -> tuple[str, int, float | None] | None:
+    async def ended(self, job_id: str) -> tuple[str, int, float | None] | None:
         """The outcome of a job, if it has one."""
-        row = await self.store.get(records.over_key(uid))
+        row = await self.store.get(records.over_key(job_id))
         if row is None:
             return None
         phase, spec = records.over_from(row[0])
-        self.final(uid, phase, spec.pieces, records.ended_at(row[0]))
-        return self.finals[uid]
+        self.final(job_id, phase, spec.task_count, records.ended_at(row[0]))
+        return self.finals[job_id]
 
-    def told(self, term: Term, uid: str) -> dict[str, Any]:
+    def told(self, term: Term, job_id: str) -> dict[str, Any]:
         ledger = term.ledger
         return status_body(
-            uid, *ledger.phase_of(ledger.jobs[uid]), awaits=ledger.awaited_by(uid, AWAITS_TOLD)
+            job_id,
+            *ledger.phase_of(ledger.jobs[job_id]),
+            depends_on=ledger.awaited_by(job_id, AWAITS_TOLD),
         )
 
-    async def read(self, uid: str) -> dict[str, Any] | None:
+    async def read(self, job_id: str) -> dict[str, Any] | None:
         """A job's state by a consistent read; None when it was never accepted."""
-        row = await self.store.get(records.job_key(uid))
+        row = await self.store.get(records.job_key(job_id))
         if row is not None:
             spec = await self.whole(records.job_from(row[0]))
             self.remember(spec)
             try:
-                cut = spec.awaits is not None and await self.cut_short(spec.awaits)
+                cut = spec.depends_on is not None and await self.depends_on_cancelled(
+                    spec.depends_on
+                )
             except Rejected as error:
                 raise Unanswered(str(error)) from None
-            return status_body(uid, names.ABORTED if cut else names.QUEUED)
-        found = await self.ended(uid)
+            return status_body(job_id, names.ABORTED if cut else names.QUEUED)
+        found = await self.ended(job_id)
         if found is None:
             return None
-        phase, pieces, _ = found
-        return status_body(uid, phase, pieces if phase == names.DONE else 0)
+        phase, task_count, _ = found
+        return status_body(job_id, phase, task_count if phase == names.DONE else 0)
 
-    def status_in_term(self, term: Term, uid: str) -> dict[str, Any] | None:
+    def status_in_term(self, term: Term, job_id: str) -> dict[str, Any] | None:
         """A job's status as this node's term knows it; None where only a read can tell."""
-        job = term.ledger.jobs.get(uid) if term.ledger.loaded else None
+        job = term.ledger.jobs.get(job_id) if term.ledger.loaded else None
         if (
             job is None
             or term.outcomes.doubtful(job)
-            or (job.awaiting and term.ledger.pipelines.is_unsure(uid))
+            or (job.awaiting and term.ledger.pipelines.is_unsure(job_id))
         ):
             return None
-        return self.told(term, uid)
+        return self.told(term, job_id)
 
-    async def poll_here(self, term: Term, uid: str) -> dict[str, Any] | None:
+    async def poll_here(self, term: Term, job_id: str) -> dict[str, Any] | None:
         """A job's status at the leader; None when it was never accepted."""
-        return self.status_in_term(term, uid) or await self.read(uid)
+        return self.status_in_term(term, job_id) or await self.read(job_id)
 
-    def status_in_memory(self, uid: str) -> dict[str, Any] | None:
+    def status_in_memory(self, job_id: str) -> dict[str, Any] | None:
         """A job's status where this node can tell it without asking anybody, else None."""
-        known = self.finals.get(uid)
+        known = self.finals.get(job_id)
         if known is not None:
-            return status_body(uid, known[0], known[1] if known[0] == names.DONE else 0)
+            return status_body(job_id, known[0], known[1] if known[0] == names.DONE else 0)
         term = self.leading()
-        return None if term is None else self.status_in_term(term, uid)
+        return None if term is None else self.status_in_term(term, job_id)
 
-    async def poll(self, uid: str) -> dict[str, Any] | None:
+    async def poll(self, job_id: str) -> dict[str, Any] | None:
         """GET /work/ID; None is 404."""
-        found = self.status_in_memory(uid)
+        found = self.status_in_memory(job_id)
         if found is None and self.leading() is None:
-            found = await self.ask_leader(names.PEER_POLL, uid, 0.8)
-        return found if found is not None else await self.read(uid)
+            found = await self.ask_leader(names.PEER_POLL, job_id, 0.8)
+        return found if found is not None else await self.read(job_id)
 
-    async def cancel(self, uid: str) -> dict[str, Any] | None:
-        known = self.finals.get(uid)
+    async def cancel(self, job_id: str) -> dict[str, Any] | None:
+        known = self.finals.get(job_id)
         if known is not None:
-            return {"uid": uid, "phase": known[0]}
+            return {"uid": job_id, "phase": known[0]}
         term = self.leading()
         if term is not None:
-            return await term.cancel(uid)
-        found = await self.ask_leader(names.PEER_CANCEL, uid, 3.0)
+            return await term.cancel(job_id)
+        found = await self.ask_leader(names.PEER_CANCEL, job_id, 3.0)
         if found is not None:
             return found
         # Only the leader may decide it, but what is decided, or unknown, anyone can read.
-        read = await self.read(uid)
+        read = await self.read(job_id)
         if read is None or read["phase"] in (names.DONE, names.ABORTED):
             return read
         raise Later("no leader")
@@ -732,18 +740,18 @@
             raise Later("no leader")
         return answer.body
 
-    async def ask_leader(self, path: str, uid: str, timeout: float) -> dict[str, Any] | None:
+    async def ask_leader(self, path: str, job_id: str, timeout: float) -> dict[str, Any] | None:
         peer = self.peers.get(self.leader or "")
         if peer is None:
             return None
         try:
-            answer = await peer.call("POST", path, {"uid": uid}, timeout=timeout)
+            answer = await peer.call("POST", path, {"uid": job_id}, timeout=timeout)
         except Unanswered as error:
             self.note("leader", error)
             return None
-        if answer.status != 200 or answer.body.get("uid") != uid:
+        if answer.status != 200 or answer.body.get("uid") != job_id:
             return None
         phase = answer.body.get("phase")
         if phase in (names.DONE, names.ABORTED):
-            self.final(uid, phase, int(answer.body.get("pieces", answer.body.get("done", 0))))
+            self.final(job_id, phase, int(answer.body.get("pieces", answer.body.get("done", 0))))
         return answer.body
--- a/src/salthead/settings.py
+++ b/src/salthead/settings.py
@@ -33,7 +33,7 @@
 
 class Objective(msgspec.Struct):
     kind: str
-    breed: str = msgspec.field(name="class", default="")
+    job_class: str = msgspec.field(name="class", default="")
     within_s: float = 0.0
     within_ms: float = 0.0
     share: float = 0.0
--- a/src/salthead/term.py
+++ b/src/salthead/term.py
@@ -22,11 +22,11 @@
     put,
 )
 from salthead.coordination import gangs, placement, preemption
-from salthead.coordination.keeping import counted_until
 from salthead.coordination.lease import LeaseClock, promise_s
 from salthead.coordination.ledger import MAX_ORDERS, Ledger
 from salthead.coordination.model import UP, Job, Machine
-from salthead.feed import JobFeed
+from salthead.coordination.zone_leases import counted_until
+from salthead.job_records import JobRecords
 from salthead.outcomes import Outcomes
 from salthead.protocol import names
 from salthead.protocol.messages import Report, shape, stop_order
@@ -80,9 +80,9 @@
         self.ledger.on_change = self.wake
         self.outcomes = Outcomes(self)
         self.ledger.on_complete = self.outcomes.want
-        self.ledger.on_doomed = self.outcomes.wanted.set
+        self.ledger.on_pending_aborts = self.outcomes.wanted.set
         self.ledger.on_room = self.offer
-        self.ledger.set_flavors(node.flavors.values())
+        self.ledger.set_machine_types(node.machine_types.values())
         self.changed = asyncio.Event()
         self.parts, self.roster = self.new_pages()
         self.roster_at = -1e9
@@ -91,7 +91,7 @@
         self.promised = False
         self.starved: set[str] = set()  # jobs that found no machine at the last pass
         self.leftovers: dict[str, str] = {}  # keys that continue records of jobs that are over
-        self.feed = JobFeed(self)
+        self.job_records = JobRecords(self)
         self.rental = Rental(self)
         self.views = Views(self)
 
@@ -132,22 +132,22 @@
     async def work_loop(self) -> None:
         while not self.ledger.loaded:
             try:
-                await self.feed.load()
+                await self.job_records.load()
             except TROUBLES as error:
                 self.node.note("load", error)
                 await self.node.rest(0.3)
         self.spawn(self.join_all(self.ledger.unheard()))
         loops = [
-            self.feed.watch_loop(),
-            self.feed.await_loop(),
+            self.job_records.watch_loop(),
+            self.job_records.await_loop(),
             self.decide_loop(),
             self.outcomes.loop(),
             self.save_loop(),
             self.roster_loop(),
             self.rental.list_loop(),
             self.rental.fleet_loop(),
-            self.stranger_loop(),
-            self.deaf_loop(),
+            self.unknown_jobs_loop(),
+            self.unresponsive_loop(),
             self.keep_loop(),
         ]
         async with asyncio.TaskGroup() as group:
@@ -211,27 +211,27 @@
             heard, silent = self.ledger.hearing(now)
             if silent <= heard or now - self.ledger.took_over < grace_s + 1.0:
                 continue
-            knocks = await asyncio.gather(
-                *(self.ask_knocks(peer) for peer in self.node.peers.values())
+            redirected = await asyncio.gather(
+                *(self.ask_redirected(peer) for peer in self.node.peers.values())
             )
-            if max(knocks, default=0) > heard:
+            if max(redirected, default=0) > heard:
                 log.warning(
-                    "resigning: %d of %d workers heard, %d knock elsewhere",
+                    "resigning: %d of %d workers heard, %d report elsewhere",
                     heard,
                     heard + silent,
-                    max(knocks),
+                    max(redirected),
                 )
                 # Longer than an election, so that a node that hears the workers wins it.
                 self.node.abstention.promise(self.now())
                 return
 
-    async def ask_knocks(self, peer: Caller) -> int:
+    async def ask_redirected(self, peer: Caller) -> int:
         try:
-            answer = await peer.call("POST", names.PEER_KNOCKS, timeout=1.0)
+            answer = await peer.call("POST", names.PEER_REDIRECTED, timeout=1.0)
         except Unanswered:
             return 0
-        knocks = answer.body.get("knocks")
-        return knocks if answer.status == 200 and type(knocks) is int else 0
+        redirected = answer.body.get("knocks")
+        return redirected if answer.status == 200 and type(redirected) is int else 0
 
     async def ask_promise(self, peer: Caller, timeout: float) -> bool:
         try:
@@ -266,7 +266,7 @@
 
     async def keep_loop(self) -> None:
         """Nodes that ask to answer their zone's workers for this leader, behind a cut."""
-        since = self.feed.since
+        since = self.job_records.since
         while True:
             try:
                 events, since = await self.store.changes(records.KEEP, since, 10.0)
@@ -275,7 +275,7 @@
                     if "set" in event and type(value) is dict and value.get("token") == self.token:
                         await self.allow(event["set"].removeprefix(records.KEEP), value)
             except Compacted:
-                since = self.feed.since
+                since = self.job_records.since
                 await self.node.rest(0.5)
             except (Conflict, *TROUBLES) as error:
                 self.node.note("keep", error)
@@ -293,14 +293,14 @@
                 urgent=True,
             )
 
-    async def stranger_loop(self) -> None:
+    async def unknown_jobs_loop(self) -> None:
         """Stray tasks of jobs that are over: whose quota do they use?"""
         while True:
-            for uid in list(self.ledger.strangers):
+            for job_id in list(self.ledger.unknown_jobs):
                 try:
-                    row = await self.store.get(records.over_key(uid))
+                    row = await self.store.get(records.over_key(job_id))
                     if row is not None:
-                        self.ledger.know_stranger(records.over_from(row[0])[1])
+                        self.ledger.identify_job(records.over_from(row[0])[1])
                 except TROUBLES as error:
                     self.node.note("stray task", error)
             await self.node.rest(0.5)
@@ -331,7 +331,7 @@
         A call with our token and no orders makes the worker accept the token, after which no
         command of an earlier leader is executed, and its answer shows what it runs.
         """
-        tenure = 1
+        session = 1
         for _ in range(2):
             if machine.joined or not machine.endpoint or not self.valid():
                 return
@@ -339,7 +339,7 @@
                 answer = await self.node.workers.call(
                     "POST",
                     names.DO,
-                    {"baton": self.token, "tenure": tenure, "orders": []},
+                    {"baton": self.token, "tenure": session, "orders": []},
                     timeout=timeout,
                     endpoint=machine.endpoint,
                 )
@@ -347,29 +347,33 @@
             except TROUBLES as error:
                 self.node.note("join", error)
                 return
-            if report.saltlick != machine.name:
+            if report.worker != machine.name:
                 return
             if answer.status == 200:
                 self.ledger.on_report(report, self.now(), direct=True)
                 return
-            tenure = report.tenure
+            session = report.session
 
-    async def deaf_loop(self) -> None:
+    async def unresponsive_loop(self) -> None:
         """Machines that nothing seems to reach: whether a direct call does."""
         while True:
             await self.node.rest(self.limits.workers.report_s)
             for machine in list(self.ledger.machines.values()):
-                if machine.deaf_since is not None and machine.endpoint and not machine.returning:
+                if (
+                    machine.unresponsive_since is not None
+                    and machine.endpoint
+                    and not machine.returning
+                ):
                     self.spawn(self.probe(machine))
 
     async def probe(self, machine: Machine) -> None:
-        body = {"baton": self.token, "tenure": machine.tenure, "orders": []}
+        body = {"baton": self.token, "tenure": machine.session, "orders": []}
         with contextlib.suppress(Unanswered):
             answer = await self.node.workers.call(
                 "POST", names.DO, body, timeout=2.0, endpoint=machine.endpoint
             )
             if answer.status in (200, 409):
-                self.ledger.heard_us(machine, self.now())
+                self.ledger.mark_responsive(machine, self.now())
 
     async def decide_loop(self) -> None:
         looked = -1e9
@@ -409,13 +413,13 @@
             ):
                 binding.stop_sent = True
                 orders.setdefault(machine, []).append(
-                    stop_order(binding.piece, binding.attempt, binding.stop)
+                    stop_order(binding.task_id, binding.attempt, binding.stop)
                 )
         for machine, stops in orders.items():
             self.spawn(self.send(machine, stops[:MAX_ORDERS]))
 
     async def send(self, machine: Machine, orders: list[dict[str, Any]]) -> None:
-        body = {"baton": self.token, "tenure": machine.tenure, "orders": orders}
+        body = {"baton": self.token, "tenure": machine.session, "orders": orders}
         try:
             await self.node.workers.call(
                 "POST", names.DO, body, timeout=2.0, endpoint=machine.endpoint
@@ -437,7 +441,7 @@
     def decide(self, now: float) -> None:
         if self.valid():
             starved = placement.place(self.ledger, self.node.rng, now)
-            before, self.starved = self.starved, {job.uid for job in starved}
+            before, self.starved = self.starved, {job.job_id for job in starved}
             if not self.starved <= before:
                 self.rental.wanted.set()
             preemption.preempt(self.ledger, starved, now)
@@ -447,29 +451,31 @@
 
     def tidy(self, job: Job) -> None:
         """What else is kept of a job that is over goes, when there is time for it."""
-        for name in self.stretches.names(job.uid, job.spec.pieces):
+        for name in self.stretches.names(job.job_id, job.spec.task_count):
             self.parts.drop(name)
-        self.leftovers |= {records.awaits_key(job.uid, n): job.uid for n in range(job.spec.more)}
+        self.leftovers |= {
+            records.awaits_key(job.job_id, n): job.job_id for n in range(job.spec.more)
+        }
 
-    async def cancel(self, uid: str) -> dict[str, Any] | None:
-        job = self.ledger.jobs.get(uid) if self.ledger.loaded else None
+    async def cancel(self, job_id: str) -> dict[str, Any] | None:
+        job = self.ledger.jobs.get(job_id) if self.ledger.loaded else None
         if job is None:
-            found = await self.node.read(uid)
+            found = await self.node.read(job_id)
             if found is None or found["phase"] in (names.DONE, names.ABORTED):
                 return found
-            row = await self.store.get(records.job_key(uid))
+            row = await self.store.get(records.job_key(job_id))
             if row is None or not self.ledger.loaded:
                 raise Unanswered("cancel in doubt")
-            self.feed.take_row(records.job_key(uid), *row)
-            if uid in self.feed.incomplete:
-                await self.feed.look_up(uid)
-            job = self.ledger.jobs.get(uid)
+            self.job_records.take_row(records.job_key(job_id), *row)
+            if job_id in self.job_records.incomplete:
+                await self.job_records.look_up(job_id)
+            job = self.ledger.jobs.get(job_id)
             if job is None:
                 raise Unanswered("cancel in doubt")
-        if not job.over and not job.doomed:
+        if not job.over and not job.dependency_cancelled:
             await self.outcomes.cancel(job)
         # What follows from a durable outcome may be told before it is written itself.
-        return {"uid": uid, "phase": job.over or names.ABORTED}
+        return {"uid": job_id, "phase": job.over or names.ABORTED}
 
     async def save_loop(self) -> None:
         """Done tasks of jobs that go on; outcomes do not wait for these."""
@@ -488,7 +494,7 @@
             if job.over or not job.dirty:
                 continue
             covered.append((job, list(job.dirty)))
-            self.feed.set_parts(job, job.dirty)
+            self.job_records.set_parts(job, job.dirty)
         while self.parts.dirty:
             await self.write_pages(self.parts)
         for job, done in covered:
@@ -542,9 +548,9 @@
                     self.roster.set(
                         machine.name,
                         [
-                            ledger.builds[machine.build],
+                            ledger.type_names[machine.machine_type],
                             ledger.zones[machine.zone],
-                            machine.borrowed,
+                            machine.spot,
                             machine.endpoint,
                         ],
                     )
--- a/src/salthead/transport/handlers.py
+++ b/src/salthead/transport/handlers.py
@@ -10,7 +10,7 @@
 from salthead.bookkeeping.store import Conflict, NoLease, Refused
 from salthead.protocol import names
 from salthead.protocol.messages import (
-    UID,
+    JOB_ID,
     Malformed,
     decode_map,
     decode_report,
@@ -37,7 +37,7 @@
 
 async def _job_reply(job_id: str, lookup: StatusLookup) -> Reply:
     """The answer on a job that exists, is unknown, or can't be told now."""
-    if not UID.match(job_id):
+    if not JOB_ID.match(job_id):
         return _error(404, "no such job")
     try:
         found = await lookup(job_id)
@@ -94,7 +94,7 @@
             return _error(400, error)
         if request.connections is not None and request.stream is not None:
             request.connections.reported(
-                report.saltlick, (report.tenure, report.tally), request.stream
+                report.worker, (report.session, report.sequence), request.stream
             )
         return Reply(*self.node.on_report(report, request.remote_ip))
 
@@ -146,7 +146,7 @@
                 names.PEER_POLL: Route("POST", "peer poll", self.poll),
                 names.PEER_CANCEL: Route("POST", "peer cancel", self.cancel),
                 names.PEER_PROMISE: Route("POST", "peer promise", self.promise),
-                names.PEER_KNOCKS: Route("POST", "peer knocks", self.knocks),
+                names.PEER_REDIRECTED: Route("POST", "peer redirected", self.redirected),
                 names.PEER_OVERVIEW: Route("POST", "peer overview", self.overview),
             },
         )
@@ -194,7 +194,7 @@
         given = await self.node.promise(member)
         return Reply(200 if given else 409, {"promise": given})
 
-    def knocks(self, request: Request) -> Reply:
+    def redirected(self, request: Request) -> Reply:
         """How many workers came here although another node leads."""
         return Reply(200, self.node.knocks_body())
 
--- a/src/salthead/views.py
+++ b/src/salthead/views.py
@@ -36,16 +36,16 @@
             phase, done, running = ledger.phase_of(job)
             jobs.append(
                 {
-                    "uid": job.uid,
-                    "crew": job.spec.crew,
-                    "breed": job.spec.breed,
+                    "uid": job.job_id,
+                    "crew": job.spec.team,
+                    "breed": job.spec.job_class,
                     "urgency": job.spec.urgency,
                     "phase": phase,
                     "waiting": job.waiting(),
                     "running": running,
                     "done": done,
-                    "pieces": job.spec.pieces,
-                    "awaits": ledger.awaited_by(job.uid, OVERVIEW_AWAITS),
+                    "pieces": job.spec.task_count,
+                    "awaits": ledger.awaited_by(job.job_id, OVERVIEW_AWAITS),
                 }
             )
         machines = []
@@ -59,9 +59,9 @@
             machines.append(
                 {
                     "name": machine.name,
-                    "build": ledger.builds[machine.build],
+                    "build": ledger.type_names[machine.machine_type],
                     "zone": ledger.zones[machine.zone],
-                    "kind": "spot" if machine.borrowed else "ordinary",
+                    "kind": "spot" if machine.spot else "ordinary",
                     "phase": machine.phase,
                     "cpus": machine.cap[0],
                     "used": round(machine.used[0], 3),
@@ -75,7 +75,7 @@
                 "guaranteed": ledger.guarantees[n][0],
                 "most": ledger.caps[n][0],
             }
-            for n, name in enumerate(ledger.crews.names)
+            for n, name in enumerate(ledger.team_names.names)
         ]
         return {
             "leader": self.term.node.settings.member,
