--- a/tools/profile_costs.py
+++ b/tools/profile_costs.py
@@ -125,13 +125,15 @@
 
 def fill(ledger: Ledger, machines: int, now: float) -> None:
     """Book a fleet out, with a line of jobs that wait; each machine has shown what it runs."""
-    ledger.set_flavors(FLAVORS)
+    ledger.set_machine_types(FLAVORS)
     ledger.loaded = ledger.ready = True
     ledger.caps = [(1e9, 1e9) for _ in ledger.caps]
     for n in range(machines):
         machine(ledger, f"m{n}", now, zone=("north", "south")[n % 2])
     for n in range(JOBS_IN_LINE):
-        ledger.add_job(spec(uid=f"req-{n}", pieces=machines, vcpus=2.0, guess_s=50.0), now)
+        ledger.add_job(
+            spec(job_id=f"req-{n}", task_count=machines, vcpus=2.0, estimated_run_s=50.0), now
+        )
     placement.place(ledger, random.Random(1), now)
     for name in ledger.machines:
         ledger.on_report(shown(ledger, name, 2), now)
@@ -140,18 +142,20 @@
 def shown(
     ledger: Ledger,
     name: str,
-    tally: int,
+    sequence: int,
     ended: int = 0,
-    baton: int = TOKEN,
-    tenure: int = 1,
+    fencing_token: int = TOKEN,
+    session: int = 1,
 ) -> Report:
     """A report of a machine with what is bound to it, of which some has ended."""
-    pieces: list[tuple[Any, ...]] = [
-        (b.piece, b.attempt, "running") for b in ledger.machines[name].bindings.values()
+    task_count: list[tuple[Any, ...]] = [
+        (b.task_id, b.attempt, "running") for b in ledger.machines[name].bindings.values()
     ]
-    pieces[:ended] = [(*piece[:2], "exited", "done") for piece in pieces[:ended]]
+    task_count[:ended] = [(*task[:2], "exited", "done") for task in task_count[:ended]]
     zone = ledger.zones[ledger.machines[name].zone]
-    return report(name, tally, *pieces, baton=baton, tenure=tenure, zone=zone)
+    return report(
+        name, sequence, *task_count, fencing_token=fencing_token, session=session, zone=zone
+    )
 
 
 class Bench:
@@ -178,7 +182,7 @@
         own.seeds[0].endpoint = other_endpoint
         node = Node(own, random.Random(1))
         node.store = Rows()  # type: ignore[assignment]
-        node.flavors = {flavor.name: flavor for flavor in FLAVORS}
+        node.machine_types = {machine_type.name: machine_type for machine_type in FLAVORS}
         return node
 
     def of_work(self, work: Callable[[], Any], times: int = 1) -> Cost:
@@ -198,9 +202,9 @@
         assert client.statuses == {status}, client.statuses
         return Cost(meter.calls / len(requests), meter.seconds / len(requests))
 
-    async def of_reports(self, tally: int, ended: int) -> Cost:
+    async def of_reports(self, sequence: int, ended: int) -> Cost:
         requests = [
-            ("POST", names.HELLO, encode(shown(self.ledger, f"m{n}", tally, ended)))
+            ("POST", names.HELLO, encode(shown(self.ledger, f"m{n}", sequence, ended)))
             for n in range(REQUESTS)
         ]
         return await self.of_requests(self.endpoints[0], requests, 200)
@@ -213,17 +217,17 @@
 
     async def of_submissions(self) -> Cost:
         requests: list[HttpRequest] = [
-            ("POST", names.WORK, encode(given(spec(uid=f"req-{9000 + n}"))))
+            ("POST", names.WORK, encode(given(spec(job_id=f"req-{9000 + n}"))))
             for n in range(REQUESTS)
         ]
         return await self.of_requests(self.endpoints[0], requests, 201)
 
     async def of_peer_calls(self) -> Cost:
         peer = self.leader.peers["n1"]
-        await peer.call("POST", names.PEER_KNOCKS)
+        await peer.call("POST", names.PEER_REDIRECTED)
         with Meter(with_calls=not self.with_seconds) as meter:
             for _ in range(REQUESTS):
-                await peer.call("POST", names.PEER_KNOCKS)
+                await peer.call("POST", names.PEER_REDIRECTED)
         return Cost(meter.calls / REQUESTS, meter.seconds / REQUESTS)
 
     def of_burst(self) -> Cost:
@@ -231,7 +235,9 @@
 
         def come() -> None:
             for n in range(BURST_JOBS):
-                self.ledger.add_job(spec(uid=f"req-{5000 + n}", pieces=BURST_TASKS), now, True)
+                self.ledger.add_job(
+                    spec(job_id=f"req-{5000 + n}", task_count=BURST_TASKS), now, True
+                )
             self.term.decide(now)
 
         return self.of_work(come, BURST_JOBS)
@@ -246,7 +252,7 @@
         def come_back() -> None:
             self.ledger.tick(later)
             for name in half:
-                self.ledger.on_report(shown(self.ledger, name, 1, tenure=2), later)
+                self.ledger.on_report(shown(self.ledger, name, 1, session=2), later)
 
         return self.of_work(come_back, len(half))
 
@@ -254,15 +260,17 @@
         """The next leader hears every machine with its tasks, and has read every job."""
         now = self.leader.now()
         new = Ledger(self.leader.limits, TOKEN + 1, now)
-        new.set_flavors(FLAVORS)
-        reports = [shown(self.ledger, name, 60, baton=TOKEN + 1) for name in self.ledger.machines]
+        new.set_machine_types(FLAVORS)
+        reports = [
+            shown(self.ledger, name, 60, fencing_token=TOKEN + 1) for name in self.ledger.machines
+        ]
         specs = [job.spec for job in self.ledger.jobs.values()]
 
         def take_over() -> None:
             for found in specs:
                 new.add_job(found, now)
             for one in reports:
-                new.add_machine(one.saltlick, one.build, one.paddock, False, now, rostered=True)
+                new.add_machine(one.worker, one.machine_type, one.zone, False, now, rostered=True)
             new.loaded = True
             for one in reports:
                 new.on_report(one, now, direct=True)
