--- a/src/salthead/protocol/names.py
+++ b/src/salthead/protocol/names.py
@@ -4,8 +4,11 @@
 WORK = "/work"
 UP = "/up"
 HELLO = "/hello"
-# path, operators
+# the last segment of a cancellation's path
+CANCEL = "cancel"
+# paths, operators
 OVERVIEW = "/overview"
+METRICS = "/metrics"
 # paths, workers
 DO = "/do"
 # paths, cloud
@@ -21,7 +24,7 @@
 PEER_SUBMIT = "/peer/submit"
 PEER_POLL = "/peer/poll"
 PEER_CANCEL = "/peer/cancel"
-PEER_KNOCKS = "/peer/knocks"
+PEER_REDIRECTED = "/peer/knocks"
 PEER_OVERVIEW = "/peer/overview"
 PEER_PROMISE = "/peer/promise"
 
--- a/src/salthead/serve.py
+++ b/src/salthead/serve.py
@@ -7,7 +7,6 @@
 from __future__ import annotations
 
 import argparse
-import asyncio
 import gc
 import logging
 import os
@@ -45,8 +44,10 @@
         settings = load(config)
     except SettingsError as error:
         raise CannotServe(str(error)) from None
+    import uvloop
+
     from salthead.service import Node
-    from salthead.transport.server import client_app, cluster_app, listen
+    from salthead.transport.server import listen_on_all
 
     # What is there now stays; and a ledger holds many objects that live long, none of them in
     # cycles, so that collecting as often as usual walks over all of them for nothing.
@@ -56,14 +57,14 @@
     async def work() -> None:
         node = Node(settings)
         try:
-            listen(node, client_app(node), settings.client_listen, node.sockets.clients)
-            listen(node, cluster_app(node), settings.cluster_listen, node.sockets.peers_in)
+            listen_on_all(node)
         except OSError as error:
             raise CannotServe(f"can't listen: {error}") from None
         logging.getLogger("salthead").info("%s started", settings.member)
         await node.run()
 
-    asyncio.run(work())
+    # tornado runs on whichever loop there is; this one takes an eighth off a leader's time.
+    uvloop.run(work())
 
 
 def main(words: Sequence[str] | None = None) -> None:
