No bound of our own below 4,000 machines

Need: fleets of four thousand machines.

- Names of machines that are gone and teams of ended jobs are kept for twice the largest fleet of the term.
With 2,000 names, a loss of more made the first of them come back from a list that lags.
- The roster's loop has a set of what the state service lacks instead of a walk ten times a second; workers that were sent on are counted without walking them at reports; a node behind a cut likewise.
- The machine list takes a third of the cloud's calls at most; joins skip machines whose lease has ended; probes go through the slots that there are, one round at a time.

--- a/src/salthead/coordination/ledger.py
+++ b/src/salthead/coordination/ledger.py
@@ -45,8 +45,10 @@
 # An attempt is the term's token and a counter, so no two starts of any terms share one.
 ATTEMPT_BITS = 24
 # Ended jobs whose team is remembered, for stray tasks of theirs, and returned machines, for late
-# copies of their reports.
+# copies of their reports and for a machine list that lags. These are the least: a fleet of which
+# everything can go at once needs room for all of it, or its machines are taken for new ones.
 TEAMS_KEPT, GONE_KEPT = 5000, 2000
+KEPT_FLEETS = 2  # how many times the largest fleet of this term is remembered
 
 
 class Ledger:
@@ -99,6 +101,10 @@
         # Those that wait for no other job: what passes and plans look at.
         self.live: dict[str, Job] = {}
         self.machines: dict[str, Machine] = {}
+        # Machines that the state service does not know yet: what its loop would else look for
+        # among all machines ten times a second.
+        self.unrostered: dict[Machine, None] = {}
+        self.largest_fleet = 0
         self.loaded = False
         self.ready = False
         # tasks on machines whose job we do not know: their team is unknown until it is read
@@ -241,7 +247,7 @@
     def _forget(self, job: Job) -> None:
         if job.over and not job.bindings and self.jobs.get(job.job_id) is job:
             self.team_of[job.job_id] = (job.team, job.need)
-            if len(self.team_of) > TEAMS_KEPT:
+            if len(self.team_of) > max(TEAMS_KEPT, KEPT_FLEETS * self.largest_fleet):
                 self.team_of.pop(next(iter(self.team_of)))
             del self.jobs[job.job_id]
             self.live.pop(job.job_id, None)
@@ -403,11 +409,19 @@
                 hired_at=now,
             )
             self.machines[name] = machine
+            self.unrostered[machine] = None
+            self.largest_fleet = max(self.largest_fleet, len(self.machines))
         if rostered and machine.phase == BOOTING:
             self.set_phase(machine, UP)
-        machine.rostered = machine.rostered or rostered
+        if rostered:
+            self.set_rostered(machine)
         return machine
 
+    def set_rostered(self, machine: Machine) -> None:
+        """The state service knows the machine, so that it may be given work."""
+        machine.rostered = True
+        self.unrostered.pop(machine, None)
+
     def lose_tasks(self, machine: Machine, now: float, why: str) -> None:
         for binding in list(machine.bindings.values()):
             self.release(binding, now, why)
@@ -420,8 +434,9 @@
         self.set_phase(machine, GONE)
         self.kept.pop(machine, None)
         self.machines.pop(machine.name, None)
+        self.unrostered.pop(machine, None)
         self.recently_gone[machine.name] = now
-        if len(self.recently_gone) > GONE_KEPT:
+        if len(self.recently_gone) > max(GONE_KEPT, KEPT_FLEETS * self.largest_fleet):
             self.recently_gone.pop(next(iter(self.recently_gone)))
         self.on_change()
 
--- a/src/salthead/coordination/zone_leases.py
+++ b/src/salthead/coordination/zone_leases.py
@@ -23,7 +23,7 @@
     return seen + ttl * (1.0 + DRIFT) + 0.1
 
 
-SENT_ON_KEPT = 5000  # workers, before those of long ago are dropped
+SENT_ON_KEPT = 5000  # workers, at the least, before those of long ago are looked for
 
 
 class ZoneLease:
@@ -39,6 +39,7 @@
         self.asked = -math.inf
         self.until = -math.inf
         self.sent_on: dict[str, float] = {}  # workers, and when they were sent to the leader
+        self.sent_on_most = SENT_ON_KEPT
 
     def ask(self, token: int, nonce: str, area: str, now: float) -> dict[str, Any]:
         """What to write, before it is written."""
@@ -68,7 +69,9 @@
     def came_back(self, worker: str, now: float) -> bool:
         """Note that a worker is here; whether it had been sent to the leader shortly before."""
         before = self.sent_on.get(worker, -math.inf)
-        if len(self.sent_on) > SENT_ON_KEPT:
+        if len(self.sent_on) > self.sent_on_most:
             self.sent_on = {w: at for w, at in self.sent_on.items() if now - at < self.BACK_S}
+            # Twice as many as there are now: a larger fleet must not be walked at each report.
+            self.sent_on_most = max(SENT_ON_KEPT, 2 * len(self.sent_on))
         self.sent_on[worker] = now
         return now - before < self.BACK_S
--- a/src/salthead/rental.py
+++ b/src/salthead/rental.py
@@ -28,6 +28,10 @@
 REST_FACTOR = 9.0
 # Plans come at once for a job that finds no machine, and otherwise now and then.
 PLAN_GAP_S, PLAN_LEAST_GAP_S = 1.0, 0.4
+# Between two readings of the machine list: at least this, and so long that the list, which has a
+# call for each 500 machines, takes no more than this part of the calls; hires and returns wait for
+# their turn behind them.
+LIST_GAP_S, LIST_PART = 2.0, 1 / 3
 
 
 class Rental:
@@ -68,16 +72,25 @@
                 self.machine_types_stored = list(self.term.node.machine_types.values())
             except (Conflict, *TROUBLES) as error:
                 self.term.node.note("flavors", error)
+            calls = 1
             try:
-                await self.read_list()
+                calls = await self.read_list()
             except TROUBLES as error:
                 self.term.node.note("cloud list", error)
-            await self.term.node.rest(max(2.0, 2.0 / self.limits.cloud.rps))
+            await self.term.node.rest(self.list_gap_s(calls))
 
-    async def read_list(self) -> None:
+    def list_gap_s(self, calls: int) -> float:
+        """The pause after a reading of the list that took so many calls."""
+        reading_s = calls / self.cloud_budget.rate
+        return max(LIST_GAP_S, 2.0 / self.limits.cloud.rps, reading_s * (1.0 / LIST_PART - 1.0))
+
+    async def read_list(self) -> int:
+        """Take in the cloud's list of machines; how many calls that took."""
         start = ""
+        calls = 0
         while True:
             await self.cloud_budget.wait()
+            calls += 1
             query: dict[str, Any] = {"most": 500}
             if start:
                 query["from"] = start
@@ -103,7 +116,7 @@
                     machine.condemned = "failed"
                     log.info("machine %s failed", host.name)
             if not page.truncated:
-                return
+                return calls
 
     async def fleet_loop(self) -> None:
         while True:
--- a/src/salthead/service.py
+++ b/src/salthead/service.py
@@ -105,9 +105,8 @@
         self.submitting = 0
         self.reached = now()  # when another node last answered
         self.others_served = -1e9  # when another node last said that the state service serves it
-        self.redirected: dict[
-            str, float
-        ] = {}  # workers that this node sent to the leader, and when
+        # Workers that this node sent to the leader, and when; who came last stands last.
+        self.redirected: OrderedDict[str, float] = OrderedDict()
 
     # -- small helpers ------------------------------------------------------------------
 
@@ -320,22 +319,31 @@
 
     def redirect(self, who: str) -> tuple[int, dict[str, Any]]:
         """The answer to a report of a node that may not act on it."""
-        self.redirected[who] = self.now()
+        self.note_redirected(who)
         if self.leader not in (None, self.settings.member) and not self.cut_off():
             return 421, {"herder": self.leader}
         return 503, {"error": "no leader"}
 
+    def note_redirected(self, who: str) -> None:
+        """A worker came here although another node leads."""
+        self.redirected[who] = self.now()
+        self.redirected.move_to_end(who)
+
     def redirected_count(self) -> int:
-        """How many workers came here lately although another node leads."""
+        """How many workers came here lately although another node leads.
+
+        Asked at reports, so it looks only at those that have left since it was asked last.
+        """
         since = self.now() - REDIRECT_WINDOW_S
-        self.redirected = {who: at for who, at in self.redirected.items() if at >= since}
+        while self.redirected and next(iter(self.redirected.values())) < since:
+            self.redirected.popitem(last=False)
         return len(self.redirected)
 
     def on_report(self, report: Report, who: str = "") -> tuple[int, dict[str, Any]]:
         term = self.leading()
         if term is None:
             if self.keeps(report):
-                self.redirected[who or report.worker] = self.now()
+                self.note_redirected(who or report.worker)
                 return 200, {"baton": self.leader_token, "orders": []}
             return self.redirect(who or report.worker)
         orders = term.on_report(report)
--- a/src/salthead/term.py
+++ b/src/salthead/term.py
@@ -322,7 +322,8 @@
 
             async def some(left: Iterator[Machine] = left, timeout: float = timeout) -> None:
                 for machine in left:
-                    await self.join(machine, timeout)
+                    if machine.phase == UP:  # else its lease has ended while others were asked
+                        await self.join(machine, timeout)
 
             await asyncio.gather(*(some() for _ in range(self.node.sockets.joins)))
 
@@ -359,13 +360,23 @@
         """Machines that nothing seems to reach: whether a direct call does."""
         while True:
             await self.node.rest(self.limits.workers.report_s)
-            for machine in list(self.ledger.machines.values()):
-                if (
-                    machine.unresponsive_since is not None
+            left = iter(
+                [
+                    machine
+                    for machine in self.ledger.machines.values()
+                    if machine.unresponsive_since is not None
                     and machine.endpoint
                     and not machine.returning
-                ):
-                    self.spawn(self.probe(machine))
+                ]
+            )
+
+            async def some(left: Iterator[Machine] = left) -> None:
+                for machine in left:
+                    await self.probe(machine)
+
+            # No more at a time than there are slots: what queues for one times out in the queue,
+            # and a round for each report period would pile up on those before it.
+            await asyncio.gather(*(some() for _ in range(self.node.sockets.joins)))
 
     async def probe(self, machine: Machine) -> None:
         body = {"baton": self.token, "tenure": machine.session, "orders": []}
@@ -544,8 +555,8 @@
         """A machine is in the roster, durably, before the first start is sent to it."""
         while True:
             ledger = self.ledger
-            for machine in ledger.machines.values():
-                if not machine.rostered and (machine.phase == UP or machine.seen):
+            for machine in ledger.unrostered:
+                if machine.phase == UP or machine.seen:
                     self.roster.set(
                         machine.name,
                         [
@@ -557,9 +568,8 @@
                     )
             # Those that are gone wait for the next one to come, or for a while.
             fresh = any(
-                name in ledger.machines and not ledger.machines[name].rostered
-                for page in self.roster.dirty
-                for name in self.roster.pages[page]
+                self.roster.where.get(machine.name) in self.roster.dirty
+                for machine in ledger.unrostered
             )
             if fresh or (self.roster.dirty and self.now() >= self.roster_at):
                 try:
@@ -569,7 +579,8 @@
                         for name in content:
                             found = ledger.machines.get(name)
                             if found is not None and not found.rostered:
-                                found.rostered = found.freed = True
+                                ledger.set_rostered(found)
+                                found.freed = True
                     self.wake()
                 except (Conflict, *TROUBLES) as error:
                     self.node.note("roster", error)
--- a/src/salthead/transport/http.py
+++ b/src/salthead/transport/http.py
@@ -126,16 +126,22 @@
 
 
 @functools.lru_cache(maxsize=64)
-def _head_template(status: int, content_type: str) -> str:
+def _head_template(status: int, content_type: str, closing: bool) -> str:
     start_line, headers = _head(Reply(status, b"", content_type), 0)
     headers["Content-Length"] = "%d"
+    if closing:
+        headers["Connection"] = "close"
     lines = [f"HTTP/1.1 {start_line.code} {start_line.reason}"]
     lines += [f"{name}: {value}" for name, value in headers.get_all()]
     return "\r\n".join(lines) + "\r\n\r\n"
 
 
-def _encoded_head(reply: Reply, length: int) -> bytes:
-    return (_head_template(reply.status, reply.content_type) % length).encode("latin1")
+def _encoded_head(reply: Reply, length: int, closing: bool) -> bytes:
+    return (_head_template(reply.status, reply.content_type, closing) % length).encode("latin1")
+
+
+def _close(stream: IOStream, sent: object) -> None:
+    stream.close()
 
 
 class _RequestDelegate(HTTPMessageDelegate):
@@ -216,7 +222,12 @@
         if self.persistent:
             # Tornado takes an encoded head as well. For each reply, its own way checks every header
             # anew, though none of them varies but the length: a seventh of a report's time.
-            self.connection.write(_encoded_head(reply, len(payload)) + payload)
+            connections = self.router.connections
+            closing = connections is not None and connections.crowded()
+            sent = self.connection.write(_encoded_head(reply, len(payload), closing) + payload)
+            if closing and self.stream is not None:
+                # The other side may be slow to close it, so this one does not wait for that.
+                sent.add_done_callback(functools.partial(_close, self.stream))
         else:
             self.connection.write_headers(*_head(reply, len(payload)), payload)
         self.connection.finish()
