--- a/src/salthead/zones/evacuation.py
+++ b/src/salthead/zones/evacuation.py
@@ -7,8 +7,8 @@
 from salthead.coordination.model import Job, Machine
 from salthead.protocol import names
 
-# A claim lasts for so many report periods: by then the gang's other machines are up, or room is kept
-# for it on machines that empty, and another gang may use this one.
+# A claim lasts for so many report periods: by then the gang's other machines are up, or room is
+# kept for it on machines that empty, and another gang may use this one.
 CLAIM_PERIODS = 3.0
 # Arrays of this urgency and below are the low-priority ones, which wait for whole gangs.
 LOW_RANK = names.URGENCIES.index("normal")
