A plan counts a place that is taken for what is left of its span

Cause, brought about by a test: room that frees within a boot counted as free at once, so that 100 places whose tasks go on for 13 s were taken to serve what 100 empty ones do in 60 s. Now the span that a line is measured by is shortened by the mean time until what there is is free. The test fails on the plan before.

Ruled out by the logs: refused hires (none was asked for between 100 and 290 s; all 330 ordinary machines are rented by then, so only cheap ones are left to hire).

--- a/src/salthead/coordination/fleet.py
+++ b/src/salthead/coordination/fleet.py
@@ -203,9 +203,23 @@
     return boot_s if lasts else max(LEAST_CHARGE_S, boot_s)
 
 
-def supply(ledger: Ledger, now: float, coming: dict[Kind, int]) -> list[Slot]:
+@dataclass
+class Supply:
     """Room that is free, or will be by the time that a new machine could be up."""
-    slots: list[Slot] = []
+
+    slots: list[Slot] = field(default_factory=list)
+    cpus: float = 0.0
+    frees_in: float = 0.0  # CPU-seconds until all of it is free
+
+    def mean_wait_s(self) -> float:
+        """How long, on the average, until a CPU of it is free."""
+        return self.frees_in / self.cpus if self.cpus > 0 else 0.0
+
+
+def supply(ledger: Ledger, now: float, coming: dict[Kind, int]) -> Supply:
+    """What there is, will soon be free, boots, or is being hired."""
+    found = Supply()
+    slots = found.slots
     soon_s = 0.7 * least_boot_s(ledger)
     runs = {job.job_id: ledger.run_s(job) for job in ledger.live.values()}
     for machine in ledger.machines.values():
@@ -219,19 +233,23 @@
             slots.append(Slot(machine.kind, list(machine.cap), machine))
         elif machine.phase == UP:
             room = list(machine.room())
+            found.cpus += room[0]
             for binding in machine.bindings.values():
                 job = binding.job
-                if binding.stop is not None or (
-                    job is not None
-                    and binding.started > 0.0
-                    and left_s(runs.get(job.job_id, math.inf), now - binding.started) <= soon_s
-                ):
+                left = math.inf
+                if binding.stop is not None:
+                    left = 0.0
+                elif job is not None and binding.started > 0.0:
+                    left = left_s(runs.get(job.job_id, math.inf), now - binding.started)
+                if left <= soon_s:
+                    found.cpus += binding.need[0]
+                    found.frees_in += left * binding.need[0]
                     for n in range(3):
                         room[n] += binding.need[n]
             slots.append(Slot(machine.kind, room, machine))
     for kind, count in coming.items():
         slots += [Slot(kind, list(ledger.capacity(kind[0]))) for _ in range(count)]
-    return slots
+    return found
 
 
 def suits(job: Job, kind: Kind) -> bool:
@@ -264,7 +282,11 @@
         span = horizon(ledger, line, now)
         soon = soon_ready(ledger, now)
         if line or soon:  # with nothing to place, free room need not be known
-            slots = supply(ledger, now, coming)
+            there = supply(ledger, now, coming)
+            slots = there.slots
+            # A place that is still taken serves the line for what is left of the span. Counted as
+            # free at once, a fleet of short tasks looked large enough for a line half as long again.
+            span = max(1.0, span - there.mean_wait_s())
         pool = Pool(slots, min((job.need[0] for job in [*line, *soon]), default=0.0))
         for job in line:
             _provide(ledger, job, job.waiting(), pool, new, left[job.team], span, refusals, now)
--- a/tests/test_scale.py
+++ b/tests/test_scale.py
@@ -488,3 +488,32 @@
 
     took, reads, world = run(day)
     assert took < 2.0 and reads < 20 and world.broken == []
+
+
+@pytest.mark.parametrize(
+    ("run_s", "age_s", "waiting", "hired"),
+    [
+        (25.0, 25.0, 160, False),  # all of it free at once: 100 places serve it in 60 s
+        (25.0, 12.0, 220, True),  # 100 places that are free in 13 s serve 188 in 60 s
+        (25.0, 25.0, 220, False),  # and 240 if they are free at once
+        (25.0, 12.0, 150, False),
+        (200.0, 0.0, 100, True),  # places that are not free before a machine is up
+    ],
+)
+def test_a_place_that_is_taken_serves_a_line_only_once_it_is_free(
+    run_s: float, age_s: float, waiting: int, hired: bool
+) -> None:
+    # Seen on troubles, prairie-ledger-lean: no hire for a minute while 300 to 1,655 tasks waited.
+    # Places that free within a boot counted as if they were free.
+    led = ready()
+    led.caps = [(1e9, 1e9) for _ in led.caps]
+    for n in range(25):
+        machine(led, f"m{n}").heard = 100.0
+    running = job(led, job_id="req-1", task_count=100, estimated_run_s=run_s)
+    placement.place_array(led, running, random.Random(1), 0.0)
+    for binding in running.bindings.values():
+        binding.started = 100.0 - min(age_s, run_s - 0.01)
+    assert len(running.bindings) == 100
+    job(led, now=100.0, job_id="req-2", task_count=waiting, estimated_run_s=25.0)
+    found = fleet.plan(led, 100.0, fleet.Refusals(), {})
+    assert bool(found.hires) is hired
