--- a/src/salthead/coordination/fleet.py
+++ b/src/salthead/coordination/fleet.py
@@ -9,17 +9,27 @@
 
 from salthead.coordination import order, placement
 from salthead.coordination.estimates import left_s
+from salthead.coordination.fleet_room import (
+    Pool,
+    Slot,
+    least_boot_s,
+    per_machine,
+    price,
+    suits,
+    supply,
+)
 from salthead.coordination.ledger import Ledger
-from salthead.coordination.model import BOOTING, LOST, UP, Job, Kind, Machine, Vec
+from salthead.coordination.model import BOOTING, Job, Kind, Machine
+from salthead.coordination.refusals import Refusals
+from salthead.coordination.returns import (
+    LEAST_CHARGE_S,
+    FleetCounts,
+    mark_surplus,
+    wanted_back,
+)
 
 log = logging.getLogger("salthead.fleet")
 
-# A deleted machine costs at least this long (protocol), so nothing shorter is worth a hire.
-LEAST_CHARGE_S = 60.0
-# A boot this many times longer than the cloud names is taken for one that never ends.
-BOOT_PATIENCE = 2.5
-# After a refusal the same kind is asked for again with doubling pauses.
-REFUSED_S, REFUSED_MAX_S = 5.0, 40.0
 HIRE_MOST = 50  # in one call
 # In one plan: the least, and a part of the fleet. At 50 a plan, 2,000 of 4,000 machines were hired
 # in 40 s; a part of what there is grows as fast as any fleet, and changes nothing below 500.
@@ -27,115 +37,16 @@
 # A line longer than a boot counts once it has lasted for this part of a boot, while no more than
 # this part of the fleet is still on its way.
 LINE_BOOTS, LINE_BOOTING = 0.5, 0.25
-# Up to this part of the roster, silence after a takeover is the machines' own fault.
-SILENT_FEW = 0.15
-# A machine that was not needed for this part of a boot is worth less than its rent: the second
-# where all work within guarantees begins in time, so that less spare room would do as well.
-SURPLUS_BOOTS, SURPLUS_BOOTS_SPARE = 1.0, 0.3
-
-
-@dataclass
-class Refusals:
-    """Kinds of machines that the cloud refused lately."""
-
-    until: dict[Kind, float] = field(default_factory=dict)
-    pause: dict[Kind, float] = field(default_factory=dict)
-
-    def refused(self, kind: Kind, now: float) -> None:
-        pause = min(REFUSED_MAX_S, self.pause.get(kind, REFUSED_S / 2) * 2)
-        self.pause[kind] = pause
-        self.until[kind] = now + pause
-
-    def granted(self, kind: Kind) -> None:
-        self.pause.pop(kind, None)
-        self.until.pop(kind, None)
-
-    def open(self, kind: Kind, now: float) -> bool:
-        return now >= self.until.get(kind, -math.inf)
-
-
-class Slot:
-    """A machine in the plan: one that is there, is booting, or would be hired."""
-
-    __slots__ = ("kind", "room", "machine", "taken")
-
-    def __init__(self, kind: Kind, room: list[float], machine: Machine | None = None) -> None:
-        self.kind = kind
-        self.room = room
-        self.machine = machine
-        self.taken = False
-
-    def fill(self, need: Vec, most: int) -> int:
-        """Take as many tasks as fit, up to ``most``; how many that were."""
-        room = self.room
-        count = most
-        for n in (0, 1, 2):  # the innermost loop of a plan
-            if need[n] > 0:
-                places = int((room[n] + 1e-6) // need[n])
-                if places < count:
-                    count = places
-        if count <= 0:
-            return 0
-        self.taken = True
-        for n in (0, 1, 2):
-            room[n] -= count * need[n]
-        return count
-
-
-class Pool:
-    """The plan's slots by kind. Slots that no task in sight fits into are dropped on the way."""
-
-    def __init__(self, slots: list[Slot], least: float) -> None:
-        self.least = least  # CPUs of the smallest task
-        self.slots: dict[Kind, list[Slot]] = {}
-        for slot in slots:
-            self.add(slot)
-
-    def add(self, slot: Slot) -> None:
-        self.slots.setdefault(slot.kind, []).append(slot)
-
-    def fill(self, kind: Kind, need: Vec, count: int) -> int:
-        """Put tasks into the slots of one kind, in their order; how many found none."""
-        slots = self.slots.get(kind)
-        if slots is None:
-            return count
-        full = False
-        for slot in slots:
-            if not count:
-                break
-            count -= slot.fill(need, count)
-            full = full or slot.room[0] + 1e-6 < self.least
-        if full:
-            self.slots[kind] = [s for s in slots if s.room[0] + 1e-6 >= self.least]
-        return count
-
-    def places(self, kind: Kind, need: Vec) -> int:
-        return sum(
-            min(
-                (int((r + 1e-6) // n) for r, n in zip(slot.room, need, strict=True) if n > 0),
-                default=0,
-            )
-            for slot in self.slots.get(kind, ())
-        )
 
 
 @dataclass
 class Plan:
+    """What to hire, by kind, and which machines to return."""
+
     hires: dict[Kind, int] = field(default_factory=dict)
     returns: list[Machine] = field(default_factory=list)
 
 
-def price(ledger: Ledger, kind: Kind) -> float:
-    machine_type = ledger.machine_types[kind[0]]
-    if kind[2] and machine_type.spot_price is not None:
-        return machine_type.spot_price
-    return machine_type.rate
-
-
-def per_machine(cap: Vec, need: Vec) -> int:
-    return int(min((c + 1e-6) // n for c, n in zip(cap, need, strict=True) if n > 0))
-
-
 def kinds_for(ledger: Ledger, job: Job, refusals: Refusals, now: float) -> list[Kind]:
     """Kinds that suit the job, the cheapest place for one of its tasks first.
 
@@ -177,11 +88,7 @@
     return most if bound is None else min(most, bound)
 
 
-def least_boot_s(ledger: Ledger) -> float:
-    return min((machine_type.boot_s for machine_type in ledger.machine_types.values()), default=0.0)
-
-
-def horizon(ledger: Ledger, line: list[Job], now: float) -> float:
+def serving_span_s(ledger: Ledger, line: list[Job], now: float) -> float:
     """Work that the fleet gets to before a new machine would be up needs no new machine.
 
     Nor is one worth its least charge for less work than that, unless the line stays longer than a
@@ -203,63 +110,6 @@
     return boot_s if lasts else max(LEAST_CHARGE_S, boot_s)
 
 
-@dataclass
-class Supply:
-    """Room that is free, or will be by the time that a new machine could be up."""
-
-    slots: list[Slot] = field(default_factory=list)
-    cpus: float = 0.0
-    frees_in: float = 0.0  # CPU-seconds until all of it is free
-
-    def mean_wait_s(self) -> float:
-        """How long, on the average, until a CPU of it is free."""
-        return self.frees_in / self.cpus if self.cpus > 0 else 0.0
-
-
-def supply(ledger: Ledger, now: float, coming: dict[Kind, int]) -> Supply:
-    """What there is, will soon be free, boots, or is being hired."""
-    found = Supply()
-    slots = found.slots
-    soon_s = 0.7 * least_boot_s(ledger)
-    runs = {job.job_id: ledger.run_s(job) for job in ledger.live.values()}
-    for machine in ledger.machines.values():
-        if machine.condemned or machine.returning or machine.warn_at is not None:
-            continue
-        if machine.unresponsive_since is not None:
-            continue  # so that another is hired in its place
-        if machine.joined and now - machine.heard > ledger.limits.workers.lease_s:
-            continue  # behind a cut, its lease kept by another node: no place to start anything
-        if machine.phase == BOOTING:
-            slots.append(Slot(machine.kind, list(machine.cap), machine))
-        elif machine.phase == UP:
-            room = list(machine.room())
-            found.cpus += room[0]
-            for binding in machine.bindings.values():
-                job = binding.job
-                left = math.inf
-                if binding.stop is not None:
-                    left = 0.0
-                elif job is not None and binding.started > 0.0:
-                    left = left_s(runs.get(job.job_id, math.inf), now - binding.started)
-                if left <= soon_s:
-                    found.cpus += binding.need[0]
-                    found.frees_in += left * binding.need[0]
-                    for n in range(3):
-                        room[n] += binding.need[n]
-            slots.append(Slot(machine.kind, room, machine))
-    for kind, count in coming.items():
-        slots += [Slot(kind, list(ledger.capacity(kind[0]))) for _ in range(count)]
-    return found
-
-
-def suits(job: Job, kind: Kind) -> bool:
-    return (
-        (job.spec.spot or not kind[2])
-        and (job.allowed_types is None or kind[0] in job.allowed_types)
-        and (job.zone is None or kind[1] == job.zone)
-    )
-
-
 def plan(
     ledger: Ledger,
     now: float,
@@ -279,13 +129,13 @@
         }
         within = placement.entitled(ledger)
         line = placement.queue(ledger, within, now)
-        span = horizon(ledger, line, now)
+        span = serving_span_s(ledger, line, now)
         soon = soon_ready(ledger, now)
         if line or soon:  # with nothing to place, free room need not be known
             there = supply(ledger, now, coming)
             slots = there.slots
             # A place that is still taken serves the line for what is left of the span. Counted as
-            # free at once, a fleet of short tasks looked large enough for a line half as long again.
+            # free at once, a fleet of short tasks looked large enough for too long a line.
             span = max(1.0, span - there.mean_wait_s())
         pool = Pool(slots, min((job.need[0] for job in [*line, *soon]), default=0.0))
         for job in line:
@@ -300,7 +150,7 @@
     needed = {slot.machine.name for slot in slots if slot.machine is not None and slot.taken}
     if ledger.ready:
         mark_surplus(ledger, needed, now)
-    counted = Counted(ledger, now)
+    counted = FleetCounts(ledger, now)
     result.returns = [
         machine
         for machine in ledger.machines.values()
@@ -336,123 +186,6 @@
     )
 
 
-def mark_surplus(ledger: Ledger, needed: set[str], now: float) -> None:
-    """Cordon machines without which all that runs and waits would have fitted for a while.
-
-    The pair draw spreads tasks over all machines, so that none is ever idle for long and a
-    fleet that was hired for a peak would stay. Tasks are packed, in thought, on the cheapest
-    machines; a machine that stays untouched takes no more tasks and is returned once empty.
-    """
-    up = [
-        m
-        for m in ledger.machines.values()
-        if m.phase == UP and not m.condemned and not m.returning and m.warn_at is None
-    ]
-    up = [m for m in up if m.machine_type in ledger.machine_types]
-    costs = {
-        kind: price(ledger, kind) / max(ledger.capacity(kind[0])[0], 1e-9)
-        for kind in {m.kind for m in up}
-    }
-    up.sort(key=lambda m: (costs[m.kind], m.name))
-    slots = [Slot(m.kind, list(m.cap), m) for m in up]
-    cheapest = sorted(costs, key=lambda kind: (costs[kind], kind))
-    # The largest first, and of these the ones that suit the fewest kinds of machines.
-    rows = []
-    for job in ledger.live.values():
-        count = sum(1 for binding in job.bindings.values() if binding.stop is None)
-        if count and not job.complete:
-            rows.append((job, count))
-    rows.sort(key=lambda row: (-row[0].need[0], row[0].spec.spot, row[0].need[2]))
-    pool = Pool(slots, min((job.need[0] for job, _ in rows), default=0.0))
-    for job, count in rows:
-        for kind in cheapest:
-            if suits(job, kind):
-                count = pool.fill(kind, job.need, count)
-                if not count:
-                    break
-    # Spare room is for jobs to come.
-    spare = 1.0 if ledger.arrivals.stopped(now) else ledger.prompt.spare()
-    patience = SURPLUS_BOOTS - spare * (SURPLUS_BOOTS - SURPLUS_BOOTS_SPARE)
-    for slot in slots:
-        machine = slot.machine
-        assert machine is not None
-        if slot.taken or machine.name in needed or now < machine.held_until:
-            machine.surplus_since = None
-            machine.cordoned = False
-        elif machine.surplus_since is None:
-            machine.surplus_since = now
-        elif not machine.cordoned and now - machine.surplus_since > (
-            patience * ledger.machine_types[machine.machine_type].boot_s
-        ):
-            machine.cordoned = True
-            log.info("machine %s is not needed: cordoned", machine.name)
-
-
-class Counted:
-    """What a plan counts once over the fleet: for each machine anew, a takeover in which half of
-    a thousand are silent took a million steps a plan."""
-
-    def __init__(self, ledger: Ledger, now: float) -> None:
-        most = max(1.0, SILENT_FEW * sum(1 for m in ledger.machines.values() if m.rostered))
-        # Whether so many machines are lost at once that a cut is likelier than their deaths. They
-        # are up behind the cut, with no tasks left; waiting for them for as long as a boot takes
-        # is cheaper than to return them and boot as many.
-        self.lost_many = sum(1 for m in ledger.machines.values() if m.phase == LOST) > most
-        # Silent machines to return rather than wait for their leases to end. After a takeover one
-        # dead or hanging machine holds up every start for a whole lease. The cloud's word that it
-        # is gone settles that at the price of one boot. Many silent machines are a cut, not
-        # broken machines, and are waited for.
-        self.silent_few: set[str] = set()
-        if not ledger.ready and now - ledger.took_over > 1.0 + ledger.limits.workers.report_s:
-            silent = ledger.unheard()
-            if len(silent) <= most:
-                self.silent_few = {machine.name for machine in silent}
-
-
-def wanted_back(
-    ledger: Ledger,
-    machine: Machine,
-    needed: set[str],
-    counted: Counted,
-    now: float,
-) -> str:
-    """Why the machine should be returned now; empty when it should not."""
-    if machine.phase == LOST:
-        machine_type = ledger.machine_types.get(machine.machine_type)
-        if not counted.lost_many or machine_type is None:
-            return "lost"
-        return "" if now - machine.lost_at < machine_type.boot_s else "lost"
-    if (
-        machine.phase == UP
-        and machine.joined
-        and (machine.answered - machine.heard > ledger.limits.workers.lease_s)
-    ):
-        # Copies alone, or a worker that began to count anew: nothing that it says is news, and
-        # each answer puts off the end of its lease. The cloud's word ends that.
-        return "only old reports"
-    if machine.name in counted.silent_few:
-        return "silent after a takeover"
-    if machine.condemned:
-        return machine.condemned if not machine.busy() else ""
-    if machine.phase == BOOTING:
-        machine_type = ledger.machine_types.get(machine.machine_type)
-        boot_s = machine_type.boot_s if machine_type else LEAST_CHARGE_S
-        if now - ledger.took_over < ledger.limits.workers.lease_s:
-            return ""  # it may be up and not have found this leader yet
-        return "never came up" if now - machine.hired_at > BOOT_PATIENCE * boot_s + 10.0 else ""
-    if machine.busy() or not ledger.ready:
-        return ""
-    if machine.unresponsive_since is not None and now - machine.unresponsive_since > (
-        ledger.limits.workers.lease_s
-    ):
-        return "unresponsive"
-    if machine.warn_at is not None:
-        return "taken soon"
-    if machine.name in needed or (machine.held_for and now < machine.held_until):
-        return ""
-    return "not needed" if machine.cordoned else ""
-
-
 def _provide(
     ledger: Ledger,
     job: Job,
--- /dev/null
+++ b/src/salthead/coordination/fleet_room.py
@@ -0,0 +1,147 @@
+"""Room as a plan of the fleet sees it: what is free now, and what will be soon."""
+
+from __future__ import annotations
+
+import math
+from dataclasses import dataclass, field
+
+from salthead.coordination.estimates import left_s
+from salthead.coordination.ledger import Ledger
+from salthead.coordination.model import BOOTING, UP, Job, Kind, Machine, Vec
+
+
+class Slot:
+    """A machine in the plan: one that is there, is booting, or would be hired."""
+
+    __slots__ = ("kind", "room", "machine", "taken")
+
+    def __init__(self, kind: Kind, room: list[float], machine: Machine | None = None) -> None:
+        self.kind = kind
+        self.room = room
+        self.machine = machine
+        self.taken = False
+
+    def fill(self, need: Vec, most: int) -> int:
+        """Take as many tasks as fit, up to ``most``; how many that were."""
+        room = self.room
+        count = most
+        for n in (0, 1, 2):  # the innermost loop of a plan
+            if need[n] > 0:
+                places = int((room[n] + 1e-6) // need[n])
+                if places < count:
+                    count = places
+        if count <= 0:
+            return 0
+        self.taken = True
+        for n in (0, 1, 2):
+            room[n] -= count * need[n]
+        return count
+
+
+class Pool:
+    """The plan's slots by kind. Slots that no task in sight fits into are dropped on the way."""
+
+    def __init__(self, slots: list[Slot], least: float) -> None:
+        self.least = least  # CPUs of the smallest task
+        self.slots: dict[Kind, list[Slot]] = {}
+        for slot in slots:
+            self.add(slot)
+
+    def add(self, slot: Slot) -> None:
+        self.slots.setdefault(slot.kind, []).append(slot)
+
+    def fill(self, kind: Kind, need: Vec, count: int) -> int:
+        """Put tasks into the slots of one kind, in their order; how many found none."""
+        slots = self.slots.get(kind)
+        if slots is None:
+            return count
+        full = False
+        for slot in slots:
+            if not count:
+                break
+            count -= slot.fill(need, count)
+            full = full or slot.room[0] + 1e-6 < self.least
+        if full:
+            self.slots[kind] = [s for s in slots if s.room[0] + 1e-6 >= self.least]
+        return count
+
+    def places(self, kind: Kind, need: Vec) -> int:
+        return sum(
+            min(
+                (int((r + 1e-6) // n) for r, n in zip(slot.room, need, strict=True) if n > 0),
+                default=0,
+            )
+            for slot in self.slots.get(kind, ())
+        )
+
+
+def price(ledger: Ledger, kind: Kind) -> float:
+    machine_type = ledger.machine_types[kind[0]]
+    if kind[2] and machine_type.spot_price is not None:
+        return machine_type.spot_price
+    return machine_type.rate
+
+
+def per_machine(cap: Vec, need: Vec) -> int:
+    return int(min((c + 1e-6) // n for c, n in zip(cap, need, strict=True) if n > 0))
+
+
+def suits(job: Job, kind: Kind) -> bool:
+    return (
+        (job.spec.spot or not kind[2])
+        and (job.allowed_types is None or kind[0] in job.allowed_types)
+        and (job.zone is None or kind[1] == job.zone)
+    )
+
+
+def least_boot_s(ledger: Ledger) -> float:
+    return min((machine_type.boot_s for machine_type in ledger.machine_types.values()), default=0.0)
+
+
+@dataclass
+class Supply:
+    """Room that is free, or will be by the time that a new machine could be up."""
+
+    slots: list[Slot] = field(default_factory=list)
+    cpus: float = 0.0
+    frees_in: float = 0.0  # CPU-seconds until all of it is free
+
+    def mean_wait_s(self) -> float:
+        """How long, on the average, until a CPU of it is free."""
+        return self.frees_in / self.cpus if self.cpus > 0 else 0.0
+
+
+def supply(ledger: Ledger, now: float, coming: dict[Kind, int]) -> Supply:
+    """What there is, will soon be free, boots, or is being hired."""
+    found = Supply()
+    slots = found.slots
+    soon_s = 0.7 * least_boot_s(ledger)
+    runs = {job.job_id: ledger.run_s(job) for job in ledger.live.values()}
+    for machine in ledger.machines.values():
+        if machine.condemned or machine.returning or machine.warn_at is not None:
+            continue
+        if machine.unresponsive_since is not None:
+            continue  # so that another is hired in its place
+        if machine.joined and now - machine.heard > ledger.limits.workers.lease_s:
+            continue  # behind a cut, its lease kept by another node: no place to start anything
+        if machine.phase == BOOTING:
+            slots.append(Slot(machine.kind, list(machine.cap), machine))
+        elif machine.phase == UP:
+            room = list(machine.room())
+            found.cpus += room[0]
+            for binding in machine.bindings.values():
+                job = binding.job
+                left = math.inf
+                if binding.stop is not None:
+                    left = 0.0
+                elif job is not None and binding.started > 0.0:
+                    left = left_s(runs.get(job.job_id, math.inf), now - binding.started)
+                if left <= soon_s:
+                    found.cpus += binding.need[0]
+                    found.frees_in += left * binding.need[0]
+                    for n in range(3):
+                        room[n] += binding.need[n]
+            slots.append(Slot(machine.kind, room, machine))
+    for kind, count in coming.items():
+        slots += [Slot(kind, list(ledger.capacity(kind[0]))) for _ in range(count)]
+    return found
--- /dev/null
+++ b/src/salthead/coordination/refusals.py
@@ -0,0 +1,31 @@
+"""Kinds of machines that the cloud has refused lately, and when to ask again."""
+
+from __future__ import annotations
+
+import math
+from dataclasses import dataclass, field
+
+from salthead.coordination.model import Kind
+
+# After a refusal the same kind is asked for again with doubling pauses.
+REFUSED_S, REFUSED_MAX_S = 5.0, 40.0
+
+
+@dataclass
+class Refusals:
+    """Kinds of machines that the cloud refused lately."""
+
+    until: dict[Kind, float] = field(default_factory=dict)
+    pause: dict[Kind, float] = field(default_factory=dict)
+
+    def refused(self, kind: Kind, now: float) -> None:
+        pause = min(REFUSED_MAX_S, self.pause.get(kind, REFUSED_S / 2) * 2)
+        self.pause[kind] = pause
+        self.until[kind] = now + pause
+
+    def granted(self, kind: Kind) -> None:
+        self.pause.pop(kind, None)
+        self.until.pop(kind, None)
+
+    def open(self, kind: Kind, now: float) -> bool:
+        return now >= self.until.get(kind, -math.inf)
--- /dev/null
+++ b/src/salthead/coordination/returns.py
@@ -0,0 +1,138 @@
+"""Which machines are not needed, and which should be returned."""
+
+from __future__ import annotations
+
+import logging
+
+from salthead.coordination.fleet_room import Pool, Slot, price, suits
+from salthead.coordination.ledger import Ledger
+from salthead.coordination.model import BOOTING, LOST, UP, Machine
+
+log = logging.getLogger("salthead.returns")
+
+# A deleted machine costs at least this long (protocol), so nothing shorter is worth a hire.
+LEAST_CHARGE_S = 60.0
+# A boot this many times longer than the cloud names is taken for one that never ends.
+BOOT_PATIENCE = 2.5
+# Up to this part of the roster, silence after a takeover is the machines' own fault.
+SILENT_FEW = 0.15
+# A machine that was not needed for this part of a boot is worth less than its rent: the second
+# where all work within guarantees begins in time, so that less spare room would do as well.
+SURPLUS_BOOTS, SURPLUS_BOOTS_SPARE = 1.0, 0.3
+
+
+def mark_surplus(ledger: Ledger, needed: set[str], now: float) -> None:
+    """Cordon machines without which all that runs and waits would have fitted for a while.
+
+    The pair draw spreads tasks over all machines, so that none is ever idle for long and a
+    fleet that was hired for a peak would stay. Tasks are packed, in thought, on the cheapest
+    machines; a machine that stays untouched takes no more tasks and is returned once empty.
+    """
+    up = [
+        m
+        for m in ledger.machines.values()
+        if m.phase == UP and not m.condemned and not m.returning and m.warn_at is None
+    ]
+    up = [m for m in up if m.machine_type in ledger.machine_types]
+    costs = {
+        kind: price(ledger, kind) / max(ledger.capacity(kind[0])[0], 1e-9)
+        for kind in {m.kind for m in up}
+    }
+    up.sort(key=lambda m: (costs[m.kind], m.name))
+    slots = [Slot(m.kind, list(m.cap), m) for m in up]
+    cheapest = sorted(costs, key=lambda kind: (costs[kind], kind))
+    # The largest first, and of these the ones that suit the fewest kinds of machines.
+    rows = []
+    for job in ledger.live.values():
+        count = sum(1 for binding in job.bindings.values() if binding.stop is None)
+        if count and not job.complete:
+            rows.append((job, count))
+    rows.sort(key=lambda row: (-row[0].need[0], row[0].spec.spot, row[0].need[2]))
+    pool = Pool(slots, min((job.need[0] for job, _ in rows), default=0.0))
+    for job, count in rows:
+        for kind in cheapest:
+            if suits(job, kind):
+                count = pool.fill(kind, job.need, count)
+                if not count:
+                    break
+    # Spare room is for jobs to come.
+    spare = 1.0 if ledger.arrivals.stopped(now) else ledger.prompt.spare()
+    patience = SURPLUS_BOOTS - spare * (SURPLUS_BOOTS - SURPLUS_BOOTS_SPARE)
+    for slot in slots:
+        machine = slot.machine
+        assert machine is not None
+        if slot.taken or machine.name in needed or now < machine.held_until:
+            machine.surplus_since = None
+            machine.cordoned = False
+        elif machine.surplus_since is None:
+            machine.surplus_since = now
+        elif not machine.cordoned and now - machine.surplus_since > (
+            patience * ledger.machine_types[machine.machine_type].boot_s
+        ):
+            machine.cordoned = True
+            log.info("machine %s is not needed: cordoned", machine.name)
+
+
+class FleetCounts:
+    """What a plan counts once over the fleet: for each machine anew, a takeover in which half of
+    a thousand are silent took a million steps a plan."""
+
+    def __init__(self, ledger: Ledger, now: float) -> None:
+        most = max(1.0, SILENT_FEW * sum(1 for m in ledger.machines.values() if m.rostered))
+        # Whether so many machines are lost at once that a cut is likelier than their deaths. They
+        # are up behind the cut, with no tasks left; waiting for them for as long as a boot takes
+        # is cheaper than to return them and boot as many.
+        self.lost_many = sum(1 for m in ledger.machines.values() if m.phase == LOST) > most
+        # Silent machines to return rather than wait for their leases to end. After a takeover one
+        # dead or hanging machine holds up every start for a whole lease. The cloud's word that it
+        # is gone settles that at the price of one boot. Many silent machines are a cut, not
+        # broken machines, and are waited for.
+        self.silent_few: set[str] = set()
+        if not ledger.ready and now - ledger.took_over > 1.0 + ledger.limits.workers.report_s:
+            silent = ledger.unheard()
+            if len(silent) <= most:
+                self.silent_few = {machine.name for machine in silent}
+
+
+def wanted_back(
+    ledger: Ledger,
+    machine: Machine,
+    needed: set[str],
+    counted: FleetCounts,
+    now: float,
+) -> str:
+    """Why the machine should be returned now; empty when it should not."""
+    if machine.phase == LOST:
+        machine_type = ledger.machine_types.get(machine.machine_type)
+        if not counted.lost_many or machine_type is None:
+            return "lost"
+        return "" if now - machine.lost_at < machine_type.boot_s else "lost"
+    if (
+        machine.phase == UP
+        and machine.joined
+        and (machine.answered - machine.heard > ledger.limits.workers.lease_s)
+    ):
+        # Copies alone, or a worker that began to count anew: nothing that it says is news, and
+        # each answer puts off the end of its lease. The cloud's word ends that.
+        return "only old reports"
+    if machine.name in counted.silent_few:
+        return "silent after a takeover"
+    if machine.condemned:
+        return machine.condemned if not machine.busy() else ""
+    if machine.phase == BOOTING:
+        machine_type = ledger.machine_types.get(machine.machine_type)
+        boot_s = machine_type.boot_s if machine_type else LEAST_CHARGE_S
+        if now - ledger.took_over < ledger.limits.workers.lease_s:
+            return ""  # it may be up and not have found this leader yet
+        return "never came up" if now - machine.hired_at > BOOT_PATIENCE * boot_s + 10.0 else ""
+    if machine.busy() or not ledger.ready:
+        return ""
+    if machine.unresponsive_since is not None and now - machine.unresponsive_since > (
+        ledger.limits.workers.lease_s
+    ):
+        return "unresponsive"
+    if machine.warn_at is not None:
+        return "taken soon"
+    if machine.name in needed or (machine.held_for and now < machine.held_until):
+        return ""
+    return "not needed" if machine.cordoned else ""
--- a/src/salthead/outcomes.py
+++ b/src/salthead/outcomes.py
@@ -66,7 +66,7 @@
             # Before anything is sent: the write may be carried out without an answer, another node
             # then confirms the cancellation, and the state service may be down from then on.
             self.ledger.request_cancel(job)
-            self.term.send_stops()
+            self.term.worker_calls.send_stops()
         self.want(job)
         tried = self.tries.setdefault(job.job_id, asyncio.get_running_loop().create_future())
         await asyncio.shield(tried)
--- a/src/salthead/term.py
+++ b/src/salthead/term.py
@@ -6,7 +6,7 @@
 import contextlib
 import logging
 import time
-from collections.abc import Coroutine, Iterator
+from collections.abc import Coroutine
 from itertools import islice
 from typing import TYPE_CHECKING, Any
 
@@ -16,24 +16,24 @@
     TROUBLES,
     Compacted,
     Conflict,
-    NoLease,
     Refused,
     drop,
     put,
 )
-from salthead.coordination import gangs, placement, preemption, reports, strays
-from salthead.coordination.lease import LeaseClock, promise_s
+from salthead.coordination import gangs, placement, preemption, strays
+from salthead.coordination.lease import LeaseClock
 from salthead.coordination.ledger import Ledger
 from salthead.coordination.model import UP, Job, Machine
-from salthead.coordination.reports import MAX_ORDERS
 from salthead.coordination.zone_leases import counted_until
 from salthead.job_records import JobRecords
+from salthead.lead import Lead
 from salthead.outcomes import Outcomes
 from salthead.protocol import names
-from salthead.protocol.messages import Report, shape, stop_order
+from salthead.protocol.messages import Report
 from salthead.rental import REST_FACTOR, Rental
-from salthead.transport.client import Caller, Unanswered
+from salthead.transport.client import Unanswered
 from salthead.views import Views
+from salthead.worker_calls import WorkerCalls
 
 if TYPE_CHECKING:
     from salthead.service import Node
@@ -49,9 +49,6 @@
 LOOK_GAP_S = 0.5
 # Tasks of an unfinished job are saved at most this often; their ends are kept by the worker.
 PART_GAP_S = 2.0
-# A machine that is well answers a direct call in milliseconds; a silent one is asked again, for
-# longer, when all others have been.
-JOIN_S, JOIN_AGAIN_S = 0.5, 2.0
 BATCH_KB = 56.0  # of a transaction's 64 KiB
 
 
@@ -89,12 +86,12 @@
         self.parts, self.roster = self.new_pages()
         self.roster_at = -1e9
         self.background: set[asyncio.Task[None]] = set()
-        self.renewal_failed = False
-        self.promised = False
         self.starved: set[str] = set()  # jobs that found no machine at the last pass
         self.leftovers: dict[str, str] = {}  # keys that continue records of jobs that are over
         self.job_records = JobRecords(self)
         self.rental = Rental(self)
+        self.lead = Lead(self)
+        self.worker_calls = WorkerCalls(self)
         self.views = Views(self)
         self.zone_loop = self._zone_loop()
 
@@ -122,10 +119,10 @@
         tasks = [
             asyncio.create_task(loop)
             for loop in (
-                self.renew_loop(),
+                self.lead.renew_loop(),
                 self.work_loop(),
-                self.promise_loop(),
-                self.resign_loop(),
+                self.lead.promise_loop(),
+                self.lead.resign_loop(),
             )
         ]
         try:
@@ -148,7 +145,7 @@
             except TROUBLES as error:
                 self.node.note("load", error)
                 await self.node.rest(0.3)
-        self.spawn(self.join_all(self.ledger.unheard()))
+        self.spawn(self.worker_calls.join_all(self.ledger.unheard()))
         loops = [
             self.job_records.watch_loop(),
             self.job_records.await_loop(),
@@ -159,7 +156,7 @@
             self.rental.list_loop(),
             self.rental.fleet_loop(),
             self.unknown_jobs_loop(),
-            self.unresponsive_loop(),
+            self.worker_calls.unresponsive_loop(),
             self.keep_loop(),
         ]
         if self.zone_loop is not None:
@@ -168,94 +165,6 @@
             for loop in loops:
                 group.create_task(loop)
 
-    # -- the lease ----------------------------------------------------------------------
-
-    async def renew_loop(self) -> None:
-        ttl = self.clock.ttl
-        while True:
-            if self.ledger.deposed_by:
-                log.warning("a worker has seen token %d", self.ledger.deposed_by)
-                return
-            sent = self.now()
-            try:
-                await self.store.extend(self.tether, timeout=ttl / 4)
-                self.clock.renewed(sent)
-                self.renewal_failed = False
-                await asyncio.sleep(ttl / 5)
-            except NoLease:
-                log.warning("the lease of token %d has ended", self.token)
-                return
-            except TROUBLES as error:
-                self.renewal_failed = True
-                self.node.note("renew", error)
-                await self.node.rest(ttl / 12)
-
-    async def promise_loop(self) -> None:
-        """While renewals fail, ask all peers for their promise not to stand."""
-        peers = self.node.peers
-        every = promise_s(self.clock.ttl) / 5
-        while True:
-            await asyncio.sleep(every)
-            if not peers or len(peers) + 1 < self.limits.initial_size:
-                continue  # somebody unknown could stand
-            if not self.renewal_failed or not self.valid():
-                self.promised = False
-                continue
-            sent = self.now()
-            given = await asyncio.gather(
-                *(self.ask_promise(peer, every * 2) for peer in peers.values())
-            )
-            counts = all(given) and self.clock.promised_by_all(sent, self.now())
-            if counts != self.promised:
-                self.promised = counts
-                log.info(
-                    "state service lost; %s by all peers",
-                    "promised the lead" if counts else "not promised the lead",
-                )
-
-    async def resign_loop(self) -> None:
-        """Give the lead up when the workers reach another node, but not this one.
-
-        A leader that is cut off from the workers alone would keep its lease while theirs end.
-        """
-        grace_s = 3.0 * self.limits.workers.report_s
-        while True:
-            await self.node.rest(1.0)
-            now = self.now()
-            heard, silent = self.ledger.hearing(now)
-            if silent <= heard or now - self.ledger.took_over < grace_s + 1.0:
-                continue
-            redirected = await asyncio.gather(
-                *(self.ask_redirected(peer) for peer in self.node.peers.values())
-            )
-            if max(redirected, default=0) > heard:
-                log.warning(
-                    "resigning: %d of %d workers heard, %d report elsewhere",
-                    heard,
-                    heard + silent,
-                    max(redirected),
-                )
-                # Longer than an election, so that a node that hears the workers wins it.
-                self.node.abstention.promise(self.now())
-                return
-
-    async def ask_redirected(self, peer: Caller) -> int:
-        try:
-            answer = await peer.call("POST", names.PEER_REDIRECTED, timeout=1.0)
-        except Unanswered:
-            return 0
-        redirected = answer.body.get("knocks")
-        return redirected if answer.status == 200 and type(redirected) is int else 0
-
-    async def ask_promise(self, peer: Caller, timeout: float) -> bool:
-        try:
-            answer = await peer.call(
-                "POST", names.PEER_PROMISE, {"member": self.node.settings.member}, timeout=timeout
-            )
-        except Unanswered:
-            return False
-        return answer.status == 200 and answer.body.get("promise") is True
-
     async def txn(
         self,
         when: dict[str, int],
@@ -324,82 +233,6 @@
     def on_report(self, report: Report) -> list[dict[str, Any]] | None:
         return self.ledger.on_report(report, self.now())
 
-    async def join_all(self, machines: list[Machine]) -> None:
-        """Some at a time: calls that queue for a slot would time out in the queue.
-
-        Behind a cut hundreds are silent, and with one long time-out for each they would hold up
-        those that answer at once.
-        """
-        for timeout in (JOIN_S, JOIN_AGAIN_S):
-            left = iter([machine for machine in machines if not machine.joined])
-
-            async def some(left: Iterator[Machine] = left, timeout: float = timeout) -> None:
-                for machine in left:
-                    if machine.phase == UP:  # else its lease has ended while others were asked
-                        await self.join(machine, timeout)
-
-            await asyncio.gather(*(some() for _ in range(self.node.sockets.joins)))
-
-    async def join(self, machine: Machine, timeout: float) -> None:
-        """Ask a machine of the roster directly: its worker may be waiting for a dead leader.
-
-        A call with our token and no orders makes the worker accept the token, after which no
-        command of an earlier leader is executed, and its answer shows what it runs.
-        """
-        session = 1
-        for _ in range(2):
-            if machine.joined or not machine.endpoint or not self.valid():
-                return
-            try:
-                answer = await self.node.workers.call(
-                    "POST",
-                    names.DO,
-                    {"baton": self.token, "tenure": session, "orders": []},
-                    timeout=timeout,
-                    endpoint=machine.endpoint,
-                )
-                report = shape(answer.body, Report)
-            except TROUBLES as error:
-                self.node.note("join", error)
-                return
-            if report.worker != machine.name:
-                return
-            if answer.status == 200:
-                self.ledger.on_report(report, self.now(), direct=True)
-                return
-            session = report.session
-
-    async def unresponsive_loop(self) -> None:
-        """Machines that nothing seems to reach: whether a direct call does."""
-        while True:
-            await self.node.rest(self.limits.workers.report_s)
-            left = iter(
-                [
-                    machine
-                    for machine in self.ledger.machines.values()
-                    if machine.unresponsive_since is not None
-                    and machine.endpoint
-                    and not machine.returning
-                ]
-            )
-
-            async def some(left: Iterator[Machine] = left) -> None:
-                for machine in left:
-                    await self.probe(machine)
-
-            # No more at a time than there are slots: what queues for one times out in the queue,
-            # and a round for each report period would pile up on those before it.
-            await asyncio.gather(*(some() for _ in range(self.node.sockets.joins)))
-
-    async def probe(self, machine: Machine) -> None:
-        body = {"baton": self.token, "tenure": machine.session, "orders": []}
-        with contextlib.suppress(Unanswered):
-            answer = await self.node.workers.call(
-                "POST", names.DO, body, timeout=2.0, endpoint=machine.endpoint
-            )
-            if answer.status in (200, 409):
-                reports.mark_responsive(self.ledger, machine, self.now())
-
     async def decide_loop(self) -> None:
         looked = -1e9
         while True:
@@ -415,43 +248,9 @@
                 self.look(now)
             self.decide(now)
             if self.valid():
-                self.send_stops()
+                self.worker_calls.send_stops()
             await asyncio.sleep(max(DECIDE_GAP_S, REST_FACTOR * (self.now() - now)))
 
-    def send_stops(self) -> None:
-        """Tell stops at once, rather than in the answer to the next report.
-
-        A stop names its attempt, so one that is carried out late harms nothing; answers to
-        reports repeat it. Starts are never sent like this: a late one would start a task that
-        has meanwhile been started elsewhere, cancelled or reaped.
-        """
-        wanted, self.ledger.stops = self.ledger.stops, []
-        orders: dict[Machine, list[dict[str, Any]]] = {}
-        for binding in wanted:
-            machine = binding.machine
-            if binding.stop is None or binding.stop_sent or not binding.phase:
-                continue  # what no report shows yet is stopped by the answer to one that does
-            if (
-                machine.joined
-                and machine.endpoint
-                and (binding.phase != names.FLUSHING or binding.stop == 0.0)
-            ):
-                binding.stop_sent = True
-                orders.setdefault(machine, []).append(
-                    stop_order(binding.task_id, binding.attempt, binding.stop)
-                )
-        for machine, stops in orders.items():
-            self.spawn(self.send(machine, stops[:MAX_ORDERS]))
-
-    async def send(self, machine: Machine, orders: list[dict[str, Any]]) -> None:
-        body = {"baton": self.token, "tenure": machine.session, "orders": orders}
-        try:
-            await self.node.workers.call(
-                "POST", names.DO, body, timeout=2.0, endpoint=machine.endpoint
-            )
-        except Unanswered as error:
-            self.node.note("direct stop", error)
-
     def offer(self, machine: Machine, now: float) -> None:
         if self.valid():
             placement.offer(self.ledger, machine, self.node.rng, now)
--- /dev/null
+++ b/src/salthead/worker_calls.py
@@ -0,0 +1,140 @@
+"""Direct calls of one term to workers: to join them, to probe them, and to tell them of stops."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+from collections.abc import Iterator
+from typing import TYPE_CHECKING, Any
+
+from salthead.bookkeeping.store import TROUBLES
+from salthead.coordination import reports
+from salthead.coordination.model import UP, Machine
+from salthead.coordination.reports import MAX_ORDERS
+from salthead.protocol import names
+from salthead.protocol.messages import Report, shape, stop_order
+from salthead.transport.client import Answer, Unanswered
+
+if TYPE_CHECKING:
+    from salthead.term import Term
+
+# A machine that is well answers a direct call in milliseconds; a silent one is asked again, for
+# longer, when all others have been.
+JOIN_S, JOIN_AGAIN_S = 0.5, 2.0
+PROBE_S, STOP_S = 2.0, 2.0
+
+
+class WorkerCalls:
+    """Calls to the addresses of workers, within the sockets that are set aside for them."""
+
+    def __init__(self, term: Term) -> None:
+        self.term = term
+
+    async def _command(
+        self, machine: Machine, session: int, orders: list[dict[str, Any]], timeout: float
+    ) -> Answer:
+        """POST /do under this term's token."""
+        body = {"baton": self.term.token, "tenure": session, "orders": orders}
+        return await self.term.node.workers.call(
+            "POST", names.DO, body, timeout=timeout, endpoint=machine.endpoint
+        )
+
+    async def join_all(self, machines: list[Machine]) -> None:
+        """Some at a time: calls that queue for a slot would time out in the queue.
+
+        Behind a cut hundreds are silent, and with one long time-out for each they would hold up
+        those that answer at once.
+        """
+        for timeout in (JOIN_S, JOIN_AGAIN_S):
+            left = iter([machine for machine in machines if not machine.joined])
+
+            async def some(left: Iterator[Machine] = left, timeout: float = timeout) -> None:
+                for machine in left:
+                    if machine.phase == UP:  # else its lease has ended while others were asked
+                        await self.join(machine, timeout)
+
+            await asyncio.gather(*(some() for _ in range(self.term.node.sockets.joins)))
+
+    async def join(self, machine: Machine, timeout: float) -> None:
+        """Ask a machine of the roster directly: its worker may be waiting for a dead leader.
+
+        A call with our token and no orders makes the worker accept the token, after which no
+        command of an earlier leader is executed, and its answer shows what it runs.
+        """
+        session = 1
+        for _ in range(2):
+            if machine.joined or not machine.endpoint or not self.term.valid():
+                return
+            try:
+                answer = await self._command(machine, session, [], timeout)
+                report = shape(answer.body, Report)
+            except TROUBLES as error:
+                self.term.node.note("join", error)
+                return
+            if report.worker != machine.name:
+                return
+            if answer.status == 200:
+                self.term.ledger.on_report(report, self.term.now(), direct=True)
+                return
+            session = report.session
+
+    async def unresponsive_loop(self) -> None:
+        """Machines that nothing seems to reach: whether a direct call does."""
+        while True:
+            await self.term.node.rest(self.term.limits.workers.report_s)
+            left = iter(
+                [
+                    machine
+                    for machine in self.term.ledger.machines.values()
+                    if machine.unresponsive_since is not None
+                    and machine.endpoint
+                    and not machine.returning
+                ]
+            )
+
+            async def some(left: Iterator[Machine] = left) -> None:
+                for machine in left:
+                    await self.probe(machine)
+
+            # No more at a time than there are slots: what queues for one times out in the queue,
+            # and a round for each report period would pile up on those before it.
+            await asyncio.gather(*(some() for _ in range(self.term.node.sockets.joins)))
+
+    async def probe(self, machine: Machine) -> None:
+        """Note that a call reaches the machine, if one does."""
+        with contextlib.suppress(Unanswered):
+            answer = await self._command(machine, machine.session, [], PROBE_S)
+            if answer.status in (200, 409):
+                reports.mark_responsive(self.term.ledger, machine, self.term.now())
+
+    def send_stops(self) -> None:
+        """Tell stops at once, rather than in the answer to the next report.
+
+        A stop names its attempt, so one that is carried out late harms nothing; answers to
+        reports repeat it. Starts are never sent like this: a late one would start a task that
+        has meanwhile been started elsewhere, cancelled or reaped.
+        """
+        wanted, self.term.ledger.stops = self.term.ledger.stops, []
+        orders: dict[Machine, list[dict[str, Any]]] = {}
+        for binding in wanted:
+            machine = binding.machine
+            if binding.stop is None or binding.stop_sent or not binding.phase:
+                continue  # what no report shows yet is stopped by the answer to one that does
+            if (
+                machine.joined
+                and machine.endpoint
+                and (binding.phase != names.FLUSHING or binding.stop == 0.0)
+            ):
+                binding.stop_sent = True
+                orders.setdefault(machine, []).append(
+                    stop_order(binding.task_id, binding.attempt, binding.stop)
+                )
+        for machine, stops in orders.items():
+            self.term.spawn(self.send(machine, stops[:MAX_ORDERS]))
+
+    async def send(self, machine: Machine, orders: list[dict[str, Any]]) -> None:
+        """Send commands once; answers to the worker's reports repeat them."""
+        try:
+            await self._command(machine, machine.session, orders, STOP_S)
+        except Unanswered as error:
+            self.term.node.note("direct stop", error)
--- a/tests/test_large_fleet.py
+++ b/tests/test_large_fleet.py
@@ -224,9 +224,9 @@
         async def join(one: Any, timeout: float) -> None:
             asked.append(one.name)
 
-        term.join = join  # type: ignore[method-assign]
+        term.worker_calls.join = join  # type: ignore[method-assign]
         term.ledger.set_phase(found[0], "lost")
-        await term.join_all(found)
+        await term.worker_calls.join_all(found)
         return asked
 
     assert set(run(day)) == {"m2"}
--- a/tests/test_meetings.py
+++ b/tests/test_meetings.py
@@ -143,7 +143,7 @@
         await world.submit(spec("req-1", task_count=6, estimated_run_s=300.0))
         await running(world, "req-1", 6)
         leader = await leader_of(world)
-        leader.term.send_stops = lambda: None  # type: ignore[union-attr,method-assign]
+        leader.term.worker_calls.send_stops = lambda: None  # type: ignore[union-attr,method-assign]
         for worker in world.cloud.hosts.values():
             worker.cut = True
         assert await world.ask(leader.settings.member, "req-1", "cancel") == "aborted"
