--- a/src/salthead/coordination/fleet_room.py
+++ b/src/salthead/coordination/fleet_room.py
@@ -114,34 +114,47 @@
 def supply(ledger: Ledger, now: float, coming: dict[Kind, int]) -> Supply:
     """What there is, will soon be free, boots, or is being hired."""
     found = Supply()
-    slots = found.slots
     soon_s = 0.7 * least_boot_s(ledger)
     runs = {job.job_id: ledger.run_s(job) for job in ledger.live.values()}
     for machine in ledger.machines.values():
-        if machine.condemned or machine.returning or machine.warn_at is not None:
+        if not _counts(ledger, machine, now):
             continue
-        if machine.unresponsive_since is not None:
-            continue  # so that another is hired in its place
-        if machine.joined and now - machine.heard > ledger.limits.workers.lease_s:
-            continue  # behind a cut, its lease kept by another node: no place to start anything
         if machine.phase == BOOTING:
-            slots.append(Slot(machine.kind, list(machine.cap), machine))
+            found.slots.append(Slot(machine.kind, list(machine.cap), machine))
         elif machine.phase == UP:
-            room = list(machine.room())
-            found.cpus += room[0]
-            for binding in machine.bindings.values():
-                job = binding.job
-                left = math.inf
-                if binding.stop is not None:
-                    left = 0.0
-                elif job is not None and binding.started > 0.0:
-                    left = left_s(runs.get(job.job_id, math.inf), now - binding.started)
-                if left <= soon_s:
-                    found.cpus += binding.need[0]
-                    found.frees_in += left * binding.need[0]
-                    for n in range(3):
-                        room[n] += binding.need[n]
-            slots.append(Slot(machine.kind, room, machine))
+            room = _room_soon(machine, runs, soon_s, found, now)
+            found.slots.append(Slot(machine.kind, room, machine))
     for kind, count in coming.items():
-        slots += [Slot(kind, list(ledger.capacity(kind[0]))) for _ in range(count)]
+        found.slots += [Slot(kind, list(ledger.capacity(kind[0]))) for _ in range(count)]
     return found
+
+
+def _counts(ledger: Ledger, machine: Machine, now: float) -> bool:
+    """Whether a machine is one on which anything may start in the time that a plan looks at."""
+    if machine.condemned or machine.returning or machine.warn_at is not None:
+        return False
+    if machine.unresponsive_since is not None:
+        return False  # so that another is hired in its place
+    # Behind a cut, its lease kept by another node, it is no place to start anything.
+    return not machine.joined or now - machine.heard <= ledger.limits.workers.lease_s
+
+
+def _room_soon(
+    machine: Machine, runs: dict[str, float], soon_s: float, found: Supply, now: float
+) -> list[float]:
+    """What is free on a machine, and what will be soon; counted in the supply."""
+    room = list(machine.room())
+    found.cpus += room[0]
+    for binding in machine.bindings.values():
+        job = binding.job
+        left = math.inf
+        if binding.stop is not None:
+            left = 0.0
+        elif job is not None and binding.started > 0.0:
+            left = left_s(runs.get(job.job_id, math.inf), now - binding.started)
+        if left <= soon_s:
+            found.cpus += binding.need[0]
+            found.frees_in += left * binding.need[0]
+            for n in range(3):
+                room[n] += binding.need[n]
+    return room
--- a/src/salthead/coordination/returns.py
+++ b/src/salthead/coordination/returns.py
@@ -28,12 +28,36 @@
     fleet that was hired for a peak would stay. Tasks are packed, in thought, on the cheapest
     machines; a machine that stays untouched takes no more tasks and is returned once empty.
     """
+    slots = _pack(ledger)
+    # Spare room is for jobs to come.
+    spare = 1.0 if ledger.arrivals.stopped(now) else ledger.prompt.spare()
+    patience = SURPLUS_BOOTS - spare * (SURPLUS_BOOTS - SURPLUS_BOOTS_SPARE)
+    for slot in slots:
+        machine = slot.machine
+        assert machine is not None
+        if slot.taken or machine.name in needed or now < machine.held_until:
+            machine.surplus_since = None
+            machine.cordoned = False
+        elif machine.surplus_since is None:
+            machine.surplus_since = now
+        elif not machine.cordoned and now - machine.surplus_since > (
+            patience * ledger.machine_types[machine.machine_type].boot_s
+        ):
+            machine.cordoned = True
+            log.info("machine %s is not needed: cordoned", machine.name)
+
+
+def _pack(ledger: Ledger) -> list[Slot]:
+    """All that runs, packed in thought on the machines that stay, the cheapest first."""
     up = [
         m
         for m in ledger.machines.values()
-        if m.phase == UP and not m.condemned and not m.returning and m.warn_at is None
+        if m.phase == UP
+        and not m.condemned
+        and not m.returning
+        and m.warn_at is None
+        and m.machine_type in ledger.machine_types
     ]
-    up = [m for m in up if m.machine_type in ledger.machine_types]
     costs = {
         kind: price(ledger, kind) / max(ledger.capacity(kind[0])[0], 1e-9)
         for kind in {m.kind for m in up}
@@ -42,35 +66,20 @@
     slots = [Slot(m.kind, list(m.cap), m) for m in up]
     cheapest = sorted(costs, key=lambda kind: (costs[kind], kind))
     # The largest first, and of these the ones that suit the fewest kinds of machines.
-    rows = []
+    running = []
     for job in ledger.live.values():
         count = sum(1 for binding in job.bindings.values() if binding.stop is None)
         if count and not job.complete:
-            rows.append((job, count))
-    rows.sort(key=lambda row: (-row[0].need[0], row[0].spec.spot, row[0].need[2]))
-    pool = Pool(slots, min((job.need[0] for job, _ in rows), default=0.0))
-    for job, count in rows:
+            running.append((job, count))
+    running.sort(key=lambda row: (-row[0].need[0], row[0].spec.spot, row[0].need[2]))
+    pool = Pool(slots, min((job.need[0] for job, _ in running), default=0.0))
+    for job, count in running:
         for kind in cheapest:
             if suits(job, kind):
                 count = pool.fill(kind, job.need, count)
                 if not count:
                     break
-    # Spare room is for jobs to come.
-    spare = 1.0 if ledger.arrivals.stopped(now) else ledger.prompt.spare()
-    patience = SURPLUS_BOOTS - spare * (SURPLUS_BOOTS - SURPLUS_BOOTS_SPARE)
-    for slot in slots:
-        machine = slot.machine
-        assert machine is not None
-        if slot.taken or machine.name in needed or now < machine.held_until:
-            machine.surplus_since = None
-            machine.cordoned = False
-        elif machine.surplus_since is None:
-            machine.surplus_since = now
-        elif not machine.cordoned and now - machine.surplus_since > (
-            patience * ledger.machine_types[machine.machine_type].boot_s
-        ):
-            machine.cordoned = True
-            log.info("machine %s is not needed: cordoned", machine.name)
+    return slots
 
 
 class FleetCounts:
@@ -103,10 +112,7 @@
 ) -> str:
     """Why the machine should be returned now; empty when it should not."""
     if machine.phase == LOST:
-        machine_type = ledger.machine_types.get(machine.machine_type)
-        if not counted.lost_many or machine_type is None:
-            return "lost"
-        return "" if now - machine.lost_at < machine_type.boot_s else "lost"
+        return _lost(ledger, machine, counted, now)
     if (
         machine.phase == UP
         and machine.joined
@@ -120,16 +126,33 @@
     if machine.condemned:
         return machine.condemned if not machine.busy() else ""
     if machine.phase == BOOTING:
-        machine_type = ledger.machine_types.get(machine.machine_type)
-        boot_s = machine_type.boot_s if machine_type else LEAST_CHARGE_S
-        if now - ledger.took_over < ledger.limits.workers.lease_s:
-            return ""  # it may be up and not have found this leader yet
-        return "never came up" if now - machine.hired_at > BOOT_PATIENCE * boot_s + 10.0 else ""
+        return _never_came_up(ledger, machine, now)
     if machine.busy() or not ledger.ready:
         return ""
-    if machine.unresponsive_since is not None and now - machine.unresponsive_since > (
-        ledger.limits.workers.lease_s
-    ):
+    return _idle(ledger, machine, needed, now)
+
+
+def _lost(ledger: Ledger, machine: Machine, counted: FleetCounts, now: float) -> str:
+    """Its lease is over: at once, or after a boot's time where many were lost together."""
+    machine_type = ledger.machine_types.get(machine.machine_type)
+    if not counted.lost_many or machine_type is None:
+        return "lost"
+    return "" if now - machine.lost_at < machine_type.boot_s else "lost"
+
+
+def _never_came_up(ledger: Ledger, machine: Machine, now: float) -> str:
+    """It boots for so long that it is taken never to come up."""
+    machine_type = ledger.machine_types.get(machine.machine_type)
+    boot_s = machine_type.boot_s if machine_type else LEAST_CHARGE_S
+    if now - ledger.took_over < ledger.limits.workers.lease_s:
+        return ""  # it may be up and not have found this leader yet
+    return "never came up" if now - machine.hired_at > BOOT_PATIENCE * boot_s + 10.0 else ""
+
+
+def _idle(ledger: Ledger, machine: Machine, needed: set[str], now: float) -> str:
+    """Nothing runs on it."""
+    since = machine.unresponsive_since
+    if since is not None and now - since > ledger.limits.workers.lease_s:
         return "unresponsive"
     if machine.warn_at is not None:
         return "taken soon"
--- a/src/salthead/policy.py
+++ b/src/salthead/policy.py
@@ -7,14 +7,13 @@
 from __future__ import annotations
 
 import math
-import tomllib
+from collections.abc import Callable
 from pathlib import Path
 
 import msgspec
 
-
-class PolicyError(Exception):
-    """Why the policy file can't be used, in one line."""
+from salthead import toml_file
+from salthead.toml_file import FileError as PolicyError
 
 
 class ZonePolicy(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
@@ -45,37 +44,46 @@
 
 NO_POLICY = Policy()
 
-SHARES = ("suspect_share", "lost_share", "return_share")
-POSITIVE = (
-    "min_machines",
-    "return_after_s",
-    "return_after_most_s",
-    "penalty_half_life_s",
-    "step_s",
-    "probe_machines",
-)
-NOT_NEGATIVE = ("hold_most_s", "probe_after_s", "evacuation_most_s")
+Rule = tuple[Callable[[float], bool], str]
+
+SHARE: Rule = (lambda value: 0 < value <= 1, "must be above 0 and at most 1")
+POSITIVE: Rule = (lambda value: value > 0, "must be above 0")
+NOT_NEGATIVE: Rule = (lambda value: value >= 0, "must not be negative")
+FACTOR: Rule = (lambda value: value >= 1, "must be at least 1")
+
+ZONE_RULES: dict[str, Rule] = {
+    "min_machines": POSITIVE,
+    "suspect_share": SHARE,
+    "lost_share": SHARE,
+    "return_share": SHARE,
+    "return_after_s": POSITIVE,
+    "return_after_most_s": POSITIVE,
+    "penalty_half_life_s": POSITIVE,
+    "step_s": POSITIVE,
+    "hold_most_s": NOT_NEGATIVE,
+    "slow_factor": FACTOR,
+    "probe_after_s": NOT_NEGATIVE,
+    "probe_machines": POSITIVE,
+    "evacuation_most_s": NOT_NEGATIVE,
+}
 
 
 def _check_zone_recovery(found: ZonePolicy) -> None:
-    path = "zone_recovery"
-    for name in (*SHARES, *POSITIVE, *NOT_NEGATIVE, "slow_factor"):
-        if not math.isfinite(getattr(found, name)):
-            raise PolicyError(f"{path}.{name}: must be a number")
-    for name in SHARES:
-        if not 0 < getattr(found, name) <= 1:
-            raise PolicyError(f"{path}.{name}: must be above 0 and at most 1")
-    for name in POSITIVE:
-        if not getattr(found, name) > 0:
-            raise PolicyError(f"{path}.{name}: must be above 0")
-    for name in NOT_NEGATIVE:
-        if not getattr(found, name) >= 0:
-            raise PolicyError(f"{path}.{name}: must not be negative")
-    if not found.slow_factor >= 1:
-        raise PolicyError(f"{path}.slow_factor: must be at least 1")
+    for name, (holds, what) in ZONE_RULES.items():
+        value = getattr(found, name)
+        if not math.isfinite(value):
+            raise PolicyError(f"zone_recovery.{name}: must be a number")
+        if not holds(value):
+            raise PolicyError(f"zone_recovery.{name}: {what}")
     for before, share in zip([0.0, *found.steps], found.steps, strict=False):
         if not before < share < 1:
-            raise PolicyError(f"{path}.steps: must rise, between 0 and 1")
+            raise PolicyError("zone_recovery.steps: must rise, between 0 and 1")
+
+
+def check(found: Policy) -> None:
+    """What types alone do not say; PolicyError names the entry."""
+    if found.zone_recovery is not None:
+        _check_zone_recovery(found.zone_recovery)
 
 
 def load(path: str | Path) -> Policy:
@@ -83,20 +91,6 @@
 
     A file that is not there enables nothing, so that one command line serves with and without it.
     """
-    try:
-        raw = Path(path).read_bytes()
-    except FileNotFoundError:
+    if not Path(path).exists():
         return NO_POLICY
-    except OSError as error:
-        raise PolicyError(f"{path}: {error.strerror or error}") from None
-    try:
-        tree = tomllib.loads(raw.decode())
-    except (UnicodeDecodeError, tomllib.TOMLDecodeError) as error:
-        raise PolicyError(f"{path}: not TOML: {error}") from None
-    try:
-        found = msgspec.convert(tree, Policy)
-        if found.zone_recovery is not None:
-            _check_zone_recovery(found.zone_recovery)
-    except (msgspec.ValidationError, PolicyError) as error:
-        raise PolicyError(f"{path}: {error}") from None
-    return found
+    return toml_file.read(path, Policy, check)
--- a/src/salthead/serve.py
+++ b/src/salthead/serve.py
@@ -15,7 +15,8 @@
 from pathlib import Path
 
 from salthead import policy as policies
-from salthead.settings import SettingsError, load
+from salthead.settings import load
+from salthead.toml_file import FileError
 
 GC_YOUNG = 10_000  # objects
 
@@ -44,7 +45,7 @@
     try:
         settings = load(config)
         policy = policies.load(policy_file) if policy_file else policies.NO_POLICY
-    except (SettingsError, policies.PolicyError) as error:
+    except FileError as error:
         raise CannotServe(str(error)) from None
     import uvloop
 
--- a/src/salthead/settings.py
+++ b/src/salthead/settings.py
@@ -2,14 +2,12 @@
 
 from __future__ import annotations
 
-import tomllib
 from pathlib import Path
 
 import msgspec
 
-
-class SettingsError(Exception):
-    """Why the settings file can't be used, in one line."""
+from salthead import toml_file
+from salthead.toml_file import FileError as SettingsError
 
 
 class Seed(msgspec.Struct):
@@ -130,6 +128,19 @@
 
 def check(found: Settings) -> None:
     """What types alone do not say; SettingsError names the field."""
+    _check_addresses(found)
+    if not found.member:
+        raise SettingsError("member: must not be empty")
+    limits = found.settings
+    if not limits.zones:
+        raise SettingsError("settings.zones: at least one zone is needed")
+    _check_numbers(limits)
+    teams = [team.name for team in limits.teams]
+    if len(set(teams)) != len(teams):
+        raise SettingsError("settings.teams: a name stands twice")
+
+
+def _check_addresses(found: Settings) -> None:
     addresses = {
         "client_listen": found.client_listen,
         "cluster_listen": found.cluster_listen,
@@ -142,11 +153,9 @@
             split_endpoint(text)
         except ValueError as error:
             raise SettingsError(f"{field}: {error}") from None
-    if not found.member:
-        raise SettingsError("member: must not be empty")
-    limits = found.settings
-    if not limits.zones:
-        raise SettingsError("settings.zones: at least one zone is needed")
+
+
+def _check_numbers(limits: Limits) -> None:
     groups = {
         "settings.workers": limits.workers,
         "settings.state": limits.state,
@@ -163,26 +172,8 @@
     for name in NOT_NEGATIVE:
         if not getattr(limits.quota, name) >= 0:  # also refuses what is not a number
             raise SettingsError(f"settings.quota.{name}: must not be negative")
-    teams = [team.name for team in limits.teams]
-    if len(set(teams)) != len(teams):
-        raise SettingsError("settings.teams: a name stands twice")
 
 
 def load(path: str | Path) -> Settings:
     """Read and check a settings file; SettingsError says what is wrong, naming the file."""
-    try:
-        raw = Path(path).read_bytes()
-    except OSError as error:
-        raise SettingsError(f"{path}: {error.strerror or error}") from None
-    try:
-        tree = tomllib.loads(raw.decode())
-    except (UnicodeDecodeError, tomllib.TOMLDecodeError) as error:
-        raise SettingsError(f"{path}: not TOML: {error}") from None
-    try:
-        found = msgspec.convert(tree, Settings)
-        check(found)
-    except msgspec.ValidationError as error:
-        raise SettingsError(f"{path}: {error}") from None
-    except SettingsError as error:
-        raise SettingsError(f"{path}: {error}") from None
-    return found
+    return toml_file.read(path, Settings, check)
--- a/tests/test_zones.py
+++ b/tests/test_zones.py
@@ -12,7 +12,7 @@
 
 from helpers import job, ledger, machine, report, verbs
 from salthead import policy
-from salthead.coordination import fleet, placement
+from salthead.coordination import fleet, gangs, placement
 from salthead.coordination.ledger import Ledger
 from salthead.policy import Policy, ZonePolicy
 from salthead.zones import evacuation, records
@@ -352,6 +352,43 @@
     assert {b.machine for b in gang.bindings.values()} == {first, second}
 
 
+@pytest.mark.parametrize(
+    ("first", "claimed"),
+    [
+        ({}, False),  # whoever stands before the gang in line is served first
+        ({"vcpus": 30.0}, True),  # but not by a machine that is too small for it
+        ({"zone": "south"}, True),
+        ({"team": "red", "vcpus": 6.0}, True),  # nor beyond its team's limit
+    ],
+)
+def test_a_machine_is_claimed_in_the_order_of_the_line(
+    first: dict[str, Any], claimed: bool
+) -> None:
+    led, _ = two_zones(each=3)
+    led.caps[0] = (4.0, 0.0)
+    gang = job(led, job_id="req-2", shape="gang", task_count=2, vcpus=7.0)
+    led.line = [job(led, job_id="req-1", **first), gang]
+    evacuation.claim(led, {gang.job_id: 0.0}, led.machines["n0"], 0.0)
+    assert (led.machines["n0"].held_for == gang.job_id) is claimed
+
+
+@pytest.mark.parametrize("evacuating", [False, True])
+def test_room_is_kept_for_a_displaced_gang_at_once(evacuating: bool) -> None:
+    # Otherwise only from half of its start target on, while arrays wait as well.
+    led, recovery = two_zones(each=2)
+    for found in led.machines.values():
+        filler = job(led, job_id=f"req-9{found.index}", task_count=1, vcpus=8.0)
+        led.bind(filler, 0, found, 1, 0.0).started = 0.0
+    gang = job(led, job_id="req-2", shape="gang", task_count=2, vcpus=7.0, deadline_s=500.0)
+    job(led, job_id="req-1", task_count=20, vcpus=2.0)
+    if evacuating:
+        recovery.states[1].enter(LOST, "", 0.0)
+        recovery.lost_tasks[1][gang.job_id] = 0.0
+        recovery.observe(0.0)
+    gangs.keep_room(led, [gang], 1.0)
+    assert len(led.kept_for(gang.job_id, 1.0)) == (2 if evacuating else 0)
+
+
 @pytest.mark.parametrize("phase", list(ZonePhase))
 def test_a_gang_is_not_filled_up_from_a_zone_in_trouble(phase: ZonePhase) -> None:
     led, recovery = two_zones()
