Zones are judged only while the term may act

By the log of zone-flaps: a leader cut off with its zone went on and called the other one lost. It could act on nothing by then; now it does not say so either.

--- a/src/salthead/zone_loop.py
+++ b/src/salthead/zone_loop.py
@@ -31,8 +31,9 @@
         """Until the term ends."""
         await self._load()
         while True:
-            self.recovery.observe(self.term.now())
-            self._show()
+            if self.term.valid():  # else others lead, and what is silent here says nothing
+                self.recovery.observe(self.term.now())
+                self._show()
             try:
                 await self._write()
             except (Conflict, *TROUBLES) as error:
