Declared IP networks: what is silent in each, in the reason of a zone that is suspected or lost

Need: a part of a zone behind one failed link looks like half of a lost zone; operators see which it is. First piece of partial cuts; it decides nothing.

--- a/src/salthead/cli.py
+++ b/src/salthead/cli.py
@@ -434,6 +434,9 @@
         lines += ["", "zones:"]
         columns = ("name", "state", "since_s", "machines", "unheard", "open", "reason")
         lines += table(zones, (*columns, "held_back_by"))
+    if networks := found.get("networks"):
+        lines += ["", "networks:"]
+        lines += table(networks, ("name", "prefix", "machines", "unheard"))
     lines += ["", f"machines ({found['machines_total']}):"]
     lines += table(
         found["machines"], ("name", "build", "zone", "kind", "phase", "cpus", "used", "note")
--- a/src/salthead/metrics.py
+++ b/src/salthead/metrics.py
@@ -31,6 +31,12 @@
     ["zone"],
     registry=REGISTRY,
 )
+NETWORK_UNHEARD = Gauge(
+    "salthead_network_unheard_machines",
+    "Machines of a declared network that are not heard",
+    ["network"],
+    registry=REGISTRY,
+)
 DISPLACED = Gauge(
     "salthead_displaced_jobs", "Jobs that lost tasks with a lost zone", registry=REGISTRY
 )
--- /dev/null
+++ b/src/salthead/networks/silence.py
@@ -0,0 +1,57 @@
+"""Which machines of each network are silent, by the sets that follow the zones."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+from pyroaring import BitMap
+
+from salthead.networks.directory import NetworkDirectory
+
+
+@dataclass(frozen=True, slots=True)
+class NetworkView:
+    """What operators see of a network."""
+
+    name: str
+    prefix: str
+    machines: int
+    unheard: int
+
+    @property
+    def silent(self) -> bool:
+        """Whether nothing is heard of it."""
+        return 0 < self.machines == self.unheard
+
+
+class NetworkSilence:
+    """The machines of each network. An address is looked up once for each machine."""
+
+    def __init__(self, directory: NetworkDirectory) -> None:
+        self.directory = directory
+        self.members = [BitMap() for _ in directory.names]
+        self.known = BitMap()
+
+    def note(self, machine: int, endpoint: str) -> None:
+        """A machine reports from an address."""
+        if not endpoint or machine in self.known:
+            return
+        self.known.add(machine)
+        network = self.directory.of(endpoint)
+        if network is not None:
+            self.members[network].add(machine)
+
+    def gone(self, machine: int) -> None:
+        """A machine was returned."""
+        self.known.discard(machine)
+        for members in self.members:
+            members.discard(machine)
+
+    def views(self, heard: BitMap) -> list[NetworkView]:
+        """All networks; a machine counts to the one with the longest prefix alone."""
+        return [
+            NetworkView(name, str(prefix), len(members), len(members - heard))
+            for name, prefix, members in zip(
+                self.directory.names, self.directory.prefixes, self.members, strict=True
+            )
+        ]
--- a/src/salthead/policy.py
+++ b/src/salthead/policy.py
@@ -36,10 +36,19 @@
     evacuation_most_s: float  # for which displaced work may change the order of the queue
 
 
+class Network(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """An IP network whose machines are counted together."""
+
+    name: str
+    prefix: str  # such as 10.1.2.0/24 or fd00:12::/32
+    within: str | None = None  # the next larger network that it lies in, if that is declared
+
+
 class Policy(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
     """The whole file. A section that is absent enables nothing."""
 
     zone_recovery: ZonePolicy | None = None
+    networks: list[Network] = []
 
 
 NO_POLICY = Policy()
@@ -84,6 +93,11 @@
     """What types alone do not say; PolicyError names the entry."""
     if found.zone_recovery is not None:
         _check_zone_recovery(found.zone_recovery)
+    if found.networks:
+        # Here, so that the library is loaded only where networks are declared.
+        from salthead.networks.directory import NetworkDirectory
+
+        NetworkDirectory(found.networks)
 
 
 def load(path: str | Path) -> Policy:
--- a/src/salthead/term.py
+++ b/src/salthead/term.py
@@ -102,7 +102,7 @@
         # Here, so that its libraries are loaded only where the policy asks for them.
         from salthead.zone_loop import ZoneLoop
 
-        return ZoneLoop(self, policy)
+        return ZoneLoop(self, policy, self.node.policy.networks)
 
     def new_pages(self) -> tuple[Pages, Pages]:
         kb = self.kept.value_kb
--- a/src/salthead/views.py
+++ b/src/salthead/views.py
@@ -103,6 +103,15 @@
             "machines": machines,
             "machines_total": len(ledger.machines),
             "zones": [_zone_row(view) for view in recovery.views(now)] if recovery else [],
+            "networks": [
+                {
+                    "name": view.name,
+                    "prefix": view.prefix,
+                    "machines": view.machines,
+                    "unheard": view.unheard,
+                }
+                for view in (recovery.network_views() if recovery else [])
+            ],
         }
 
     def account(self, now: float) -> None:
--- a/src/salthead/zone_loop.py
+++ b/src/salthead/zone_loop.py
@@ -6,24 +6,41 @@
 
 from salthead import metrics
 from salthead.bookkeeping.store import TROUBLES, Conflict, put
-from salthead.policy import ZonePolicy
+from salthead.policy import Network, ZonePolicy
 from salthead.zones import records
 from salthead.zones.recovery import ZoneRecovery
 from salthead.zones.state import ZonePhase
 
 if TYPE_CHECKING:
+    from salthead.networks.silence import NetworkSilence
     from salthead.term import Term
 
 OBSERVE_GAP_S = 1.0
 
 
+def _silence_of(networks: list[Network]) -> NetworkSilence | None:
+    if not networks:
+        return None
+    # Here, so that the library is loaded only where networks are declared.
+    from salthead.networks.directory import NetworkDirectory
+    from salthead.networks.silence import NetworkSilence
+
+    return NetworkSilence(NetworkDirectory(networks))
+
+
 class ZoneLoop:
     """Observes the zones each second; what changed is written behind."""
 
-    def __init__(self, term: Term, policy: ZonePolicy) -> None:
+    def __init__(self, term: Term, policy: ZonePolicy, networks: list[Network]) -> None:
         self.term = term
+        now = term.now()
         self.recovery = ZoneRecovery(
-            term.ledger, policy, term.node.rng, term.now(), term.ledger.wall_ahead + term.now()
+            term.ledger,
+            policy,
+            term.node.rng,
+            now,
+            term.ledger.wall_ahead + now,
+            _silence_of(networks),
         )
         term.ledger.zone_hooks = self.recovery
 
@@ -68,4 +85,6 @@
             for phase in ZonePhase:
                 metrics.ZONES.labels(view.name, phase.value).set(view.phase is phase)
             metrics.ZONE_OPEN.labels(view.name).set(view.open_machines)
+        for network in self.recovery.network_views():
+            metrics.NETWORK_UNHEARD.labels(network.name).set(network.unheard)
         metrics.DISPLACED.set(len(self.recovery.displaced_jobs))
--- a/src/salthead/zones/recovery.py
+++ b/src/salthead/zones/recovery.py
@@ -6,7 +6,7 @@
 import random
 from collections.abc import Iterable
 from dataclasses import dataclass
-from typing import Any
+from typing import TYPE_CHECKING, Any
 
 from salthead.coordination import placement
 from salthead.coordination.ledger import Ledger
@@ -18,6 +18,9 @@
 from salthead.zones.start_times import StartTimes
 from salthead.zones.state import Evidence, ZonePhase, ZoneState
 
+if TYPE_CHECKING:
+    from salthead.networks.silence import NetworkSilence, NetworkView
+
 log = logging.getLogger("salthead.zones")
 
 # Two generations of two report periods each: silence is seen after two to four of them.
@@ -53,7 +56,13 @@
     """Follows the zones of one term's ledger; see ``ZoneHooks`` for what it is told and asked."""
 
     def __init__(
-        self, ledger: Ledger, policy: ZonePolicy, rng: random.Random, now: float, wall: float
+        self,
+        ledger: Ledger,
+        policy: ZonePolicy,
+        rng: random.Random,
+        now: float,
+        wall: float,
+        networks: NetworkSilence | None = None,
     ) -> None:
         workers = ledger.limits.workers
         self.ledger = ledger
@@ -70,6 +79,7 @@
             now,
         )
         self.usual = StartTimes()
+        self.networks = networks
         # By zone: jobs, and when they last lost tasks with a machine there.
         self.lost_tasks: list[dict[str, float]] = []
         # Zones with machines that were lost before they reported to this leader.
@@ -84,6 +94,8 @@
     def heard(self, machine: Machine) -> None:
         """A report of the machine was news."""
         self.sets.heard.add(machine.index)
+        if self.networks is not None:
+            self.networks.note(machine.index, machine.endpoint)
 
     def phase_changed(self, machine: Machine) -> None:
         """Keep the sets in line, and withhold what comes up in a zone that is not available."""
@@ -97,6 +109,8 @@
                 self.unknown_losses.add(machine.zone)
         elif machine.phase == GONE:
             self.sets.gone(machine.zone, machine.index)
+            if self.networks is not None:
+                self.networks.gone(machine.index)
 
     def displaced(self, bindings: Iterable[Binding], now: float) -> None:
         """Note whose tasks were lost, in case their zone turns out to be lost."""
@@ -153,6 +167,10 @@
     def _entered(self, zone: int, now: float) -> None:
         state = self.states[zone]
         name = self.ledger.zones[zone]
+        if state.phase in (ZonePhase.SUSPECTED, ZonePhase.LOST):
+            silent = [view.name for view in self.network_views() if view.silent]
+            if silent:
+                state.reason += f"; nothing is heard of {', '.join(silent)}"
         log.info("zone %s is %s%s", name, state.phase, f": {state.reason}" if state.reason else "")
         if state.phase is ZonePhase.LOST and zone in self.unknown_losses:
             self._displace_earlier_jobs(zone, now)
@@ -343,6 +361,10 @@
         """That write was answered; what changed meanwhile is written once more."""
         self.written.update(covered)
 
+    def network_views(self) -> list[NetworkView]:
+        """All declared networks, for operators."""
+        return [] if self.networks is None else self.networks.views(self.sets.heard.members())
+
     def views(self, now: float) -> list[ZoneView]:
         """All zones, for operators."""
         found = []
