--- /dev/null
+++ b/src/salthead/job_lookups.py
@@ -0,0 +1,136 @@
+"""What a node reads of jobs in the state service, for answers that its memory can't give."""
+
+from __future__ import annotations
+
+import math
+from collections import deque
+from typing import TYPE_CHECKING, Any
+
+import msgspec
+
+from salthead.bookkeeping import records
+from salthead.bookkeeping.store import Row
+from salthead.errors import Later, Rejected
+from salthead.protocol import names
+from salthead.protocol.messages import Submission, status_body
+from salthead.transport.client import Unanswered
+
+if TYPE_CHECKING:
+    from salthead.service import Node
+
+# Single reads in a walk over what a job needs, before all active jobs are read at once.
+LOOK_UPS = 12
+
+
+class JobLookups:
+    """Consistent reads of one node."""
+
+    def __init__(self, node: Node) -> None:
+        self.node = node
+
+    async def whole(self, spec: Submission) -> Submission:
+        """A job with all that it awaits, where its record is continued in further values."""
+        depends_on = list(spec.depends_on or [])
+        for n in range(spec.more):
+            row = await self.node.store.get(records.awaits_key(spec.job_id, n))
+            if row is None:
+                raise Unanswered("job record: a part is missing")
+            depends_on += records.awaits_from(row[0])
+        return msgspec.structs.replace(spec, depends_on=depends_on or None)
+
+    async def depends_on_cancelled(
+        self,
+        depends_on: list[str],
+        end: float = math.inf,
+        every: bool = False,
+    ) -> bool:
+        """Whether one of these jobs, or any that they need, was cancelled.
+
+        ``every``: each of them has to have been accepted, also beside one that was cancelled.
+        Seen on troubles, prairie-ledger-next: the first was cancelled, and the next, which nobody
+        had submitted, was not looked up.
+
+        The durable outcome of the cancelled one decides; it needs no leader to be told. A job
+        whose own outcome is known needs no look at what is before it. Rejected: one of them was
+        never accepted.
+        """
+        seen, line = set(depends_on), deque(depends_on)
+        named, cut = set(depends_on), False
+        active: dict[str, Row] | None = None
+        reads = 0
+        while line:
+            job_id = line.popleft()
+            if cut and job_id not in named:
+                break  # those that are named come first
+            if self.node.now() > end:
+                raise Later("still looking up the jobs that it awaits")
+            found: str | None = None
+            term = self.node.leading()
+            if job_id in self.node.finals:
+                found = self.node.finals[job_id][0]
+            elif (
+                term is not None
+                and job_id not in term.outcomes.in_doubt
+                and (job := term.ledger.jobs.get(job_id)) is not None
+            ):
+                found = job.over or (names.ABORTED if job.dependency_cancelled else None)
+                self.node.remember(job.spec)
+            else:
+                if reads == LOOK_UPS:  # deep or wide: all jobs that are not over at once
+                    active, _ = await self.node.store.rows(records.JOBS)
+                reads += 1
+                row = active.get(records.job_key(job_id)) if active is not None else None
+                found = await self.look_up(job_id, row)
+            if found == names.ABORTED:
+                if not every:
+                    return True
+                cut = True
+            for before in self.node.accepted.get(job_id, ()) if found is None else ():
+                if before not in seen:
+                    seen.add(before)
+                    line.append(before)
+        return cut
+
+    async def look_up(self, job_id: str, row: Row | None) -> str | None:
+        """A job's outcome, or None when it is not over and what it awaits is known."""
+        if row is None:
+            if (ended := await self.ended(job_id)) is not None:
+                return ended[0]
+            if job_id in self.node.accepted:
+                return None
+            row = await self.node.store.get(records.job_key(job_id))
+        if row is None:  # it has ended since, or was never accepted
+            if (ended := await self.ended(job_id)) is not None:
+                return ended[0]
+            raise Rejected(f"awaits: {job_id} was never accepted")
+        if job_id not in self.node.accepted:
+            self.node.remember(await self.whole(records.job_from(row[0])))
+        return None
+
+    async def ended(self, job_id: str) -> tuple[str, int, float | None] | None:
+        """The outcome of a job, if it has one."""
+        row = await self.node.store.get(records.over_key(job_id))
+        if row is None:
+            return None
+        phase, spec = records.over_from(row[0])
+        self.node.final(job_id, phase, spec.task_count, records.ended_at(row[0]))
+        return self.node.finals[job_id]
+
+    async def read(self, job_id: str) -> dict[str, Any] | None:
+        """A job's state by a consistent read; None when it was never accepted."""
+        row = await self.node.store.get(records.job_key(job_id))
+        if row is not None:
+            spec = await self.whole(records.job_from(row[0]))
+            self.node.remember(spec)
+            try:
+                cut = spec.depends_on is not None and await self.depends_on_cancelled(
+                    spec.depends_on
+                )
+            except Rejected as error:
+                raise Unanswered(str(error)) from None
+            return status_body(job_id, names.ABORTED if cut else names.QUEUED)
+        found = await self.ended(job_id)
+        if found is None:
+            return None
+        phase, task_count, _ = found
+        return status_body(job_id, phase, task_count if phase == names.DONE else 0)
--- a/src/salthead/job_records.py
+++ b/src/salthead/job_records.py
@@ -183,7 +183,7 @@
         unsure = self.ledger.pipelines.unsure
         found = self.term.node.finals.get(job_id)
         if found is None or (found[0] == names.DONE and found[2] is None):
-            found = await self.term.node.ended(job_id)
+            found = await self.term.node.lookups.ended(job_id)
         if found is not None:
             self.incomplete.pop(job_id, None)
             if job_id in unsure:
@@ -193,6 +193,6 @@
         if row is None:
             raise Unanswered(f"no record of {job_id}")
         if job_id not in self.ledger.jobs:
-            spec = await self.term.node.whole(records.job_from(row[0]))
+            spec = await self.term.node.lookups.whole(records.job_from(row[0]))
             self.incomplete.pop(job_id, None)
             self.ledger.add_job(spec, self.now(), fresh=row[1] > self.term.stamp)
--- a/src/salthead/outcomes.py
+++ b/src/salthead/outcomes.py
@@ -151,7 +151,7 @@
             # An earlier try took effect without an answer: what it wrote counts.
             known = 0
             for job in jobs:
-                found = await self.node.ended(job.job_id)
+                found = await self.node.lookups.ended(job.job_id)
                 if found is not None:
                     known += 1
                     self.ended(job, found[0], found[2])
--- a/src/salthead/service.py
+++ b/src/salthead/service.py
@@ -4,23 +4,19 @@
 
 import asyncio
 import logging
-import math
 import random
 import time
 import uuid
-from collections import OrderedDict, deque
+from collections import OrderedDict
 from collections.abc import Callable
 from typing import Any
 
-import msgspec
-
 from salthead import metrics
 from salthead.bookkeeping import records
 from salthead.bookkeeping.store import (
     TROUBLES,
     Conflict,
     Refused,
-    Row,
     Store,
     drop,
     put,
@@ -28,10 +24,11 @@
 from salthead.coordination import lease
 from salthead.coordination.zone_leases import ZoneLease
 from salthead.election import Election
+from salthead.errors import Later
+from salthead.job_lookups import JobLookups
 from salthead.policy import NO_POLICY, Policy
 from salthead.protocol import names
 from salthead.protocol.messages import (
-    JOB_ID,
     MachineType,
     MachineTypes,
     Report,
@@ -41,6 +38,7 @@
 )
 from salthead.settings import Settings
 from salthead.sockets import Sockets
+from salthead.submissions import Submissions
 from salthead.term import Term
 from salthead.transport.client import Caller, Unanswered
 
@@ -52,21 +50,9 @@
 # The load balancer's probes are about this far apart.
 REACH_S = 1.0
 FINALS_KEPT = 20_000
-# A submission has 5 s; what was looked up by then is known when it comes again.
-LOOK_UP_S = 3.0
-# Single reads in a walk over what a job needs, before all active jobs are read at once.
-LOOK_UPS = 12
 AWAITS_TOLD = 20
 
 
-class Later(Exception):
-    """Can't be decided now; the client is told when to come back."""
-
-
-class Rejected(Exception):
-    """422: the job can never run."""
-
-
 class Node:
     def __init__(
         self,
@@ -95,6 +81,8 @@
         self.leader: str | None = None  # the member that leads, as last read
         self.leader_token = 0
         self.zone_lease = ZoneLease(lease.leader_ttl(self.limits.workers.lease_s))
+        self.submissions = Submissions(self)
+        self.lookups = JobLookups(self)
         self.term: Term | None = None
         self.abstention = lease.Abstention(
             lease.leader_ttl(self.limits.workers.lease_s), self.now()
@@ -360,31 +348,6 @@
 
     # -- what users ask -----------------------------------------------------------------
 
-    def check(self, job: Submission) -> None:
-        """422 and 503 by what is known of teams and machine types."""
-        team = next((team for team in self.limits.teams if team.name == job.team), None)
-        if team is None:
-            raise Rejected(f"unknown team {job.team[:60]}")
-        many = job.task_count if job.shape == names.GANG else 1
-        gpus = job.accelerators * many
-        if job.vcpus * many > team.cpus_max + 1e-6 or gpus > team.gpus_max + 1e-6:
-            raise Rejected("more than the team's limit")
-        if not self.machine_types:
-            raise Later("machine types not known yet")
-        if not any(
-            job.vcpus <= f.vcpus
-            and job.accelerators <= f.accelerators
-            and job.ram_gb <= f.ram_gb
-            and (job.machine_types is None or f.name in job.machine_types)
-            and (job.zone is None or job.zone in f.zones)
-            for f in self.machine_types.values()
-        ):
-            raise Rejected("a task fits no allowed machine type")
-        if job.machine_types is not None:  # only names that exist are kept
-            job.machine_types = sorted(
-                {name for name in job.machine_types if name in self.machine_types}
-            )
-
     async def submit(
         self,
         job: Submission,
@@ -395,185 +358,10 @@
             raise Later("overloaded")
         self.submitting += 1
         try:
-            return await self.accept(job, forwarded)
+            return await self.submissions.accept(job, forwarded)
         finally:
             self.submitting -= 1
 
-    async def forward_submission(self, job: Submission) -> tuple[int, dict[str, Any]]:
-        """Let another node accept a job that this one can't write: the service may refuse this
-        node alone. A job has one id, so that two nodes may try to accept it."""
-        for peer in self.peers.values() if self.refused_alone() else ():
-            try:
-                answer = await peer.call(
-                    "POST", names.PEER_SUBMIT, msgspec.to_builtins(job), timeout=0.8
-                )
-            except Unanswered as error:
-                self.note("pass on", error)
-                continue
-            if answer.status in (200, 201) and answer.body.get("uid") == job.job_id:
-                return answer.status, answer.body
-        raise Later("the state service does not answer")
-
-    async def accept(
-        self,
-        job: Submission,
-        forwarded: bool,
-    ) -> tuple[int, dict[str, Any]]:
-        known = self.finals.get(job.job_id)
-        if known is not None:
-            return 200, status_body(job.job_id, known[0], known[1] if known[0] == names.DONE else 0)
-        term = self.leading()
-        if term is not None and job.job_id in term.ledger.jobs:
-            found = await self.poll_here(term, job.job_id)
-            if found is not None:
-                return 200, found
-        dependency_cancelled = False
-        try:
-            self.check(job)
-            if job.depends_on:
-                dependency_cancelled = await self.check_awaits(job)
-            # The time is noted before the record is made, for what it takes up in it.
-            job.at = time.time()
-            rows = records.job_rows(job, self.kept.value_kb, self.kept.txn_ops)
-            reject: Rejected | None = None
-        except records.TooLong as error:
-            reject = Rejected(str(error))
-        except Rejected as error:
-            reject = error
-        if reject is not None:
-            # A repeat of a job that was accepted must not be refused, whatever changed since.
-            if (found := await self.read(job.job_id)) is not None:
-                return 200, found
-            raise reject
-        if dependency_cancelled:
-            # What it needs was cancelled, so its outcome is known before it is written.
-            rows = [
-                (
-                    records.over_key(job.job_id),
-                    records.over_value(job, names.ABORTED, job.at, self.kept.value_kb),
-                )
-            ]
-        try:
-            await self.store.txn(
-                {records.job_key(job.job_id): 0, records.over_key(job.job_id): 0},
-                [put(key, value) for key, value in rows],
-            )
-        except (Refused, Unanswered):
-            if forwarded:
-                raise
-            return await self.forward_submission(job)
-        except Conflict:
-            found = await self.read(job.job_id)
-            if found is None:
-                raise Later("in doubt") from None
-            return 200, found
-        log.debug("accepted %s: %d tasks", job.job_id, job.task_count)
-        if dependency_cancelled:
-            self.final(job.job_id, names.ABORTED, job.task_count, job.at)
-            return 201, {"uid": job.job_id, "phase": names.ABORTED}
-        job.more = len(rows) - 1
-        self.remember(job)
-        term = self.leading()
-        if term is not None and term.ledger.loaded:
-            term.job_records.add_job(job)
-        return 201, {"uid": job.job_id, "phase": names.QUEUED}
-
-    async def check_awaits(self, job: Submission) -> bool:
-        """Whether a job that this one needs was cancelled; Rejected if one was never accepted."""
-        depends_on = job.depends_on or []
-        for job_id in depends_on:
-            if job_id == job.job_id or not JOB_ID.match(job_id):
-                raise Rejected(f"awaits: {job_id[:60]!r} is no job that was accepted")
-        return await self.depends_on_cancelled(depends_on, self.now() + LOOK_UP_S, every=True)
-
-    async def whole(self, spec: Submission) -> Submission:
-        """A job with all that it awaits, where its record is continued in further values."""
-        depends_on = list(spec.depends_on or [])
-        for n in range(spec.more):
-            row = await self.store.get(records.awaits_key(spec.job_id, n))
-            if row is None:
-                raise Unanswered("job record: a part is missing")
-            depends_on += records.awaits_from(row[0])
-        return msgspec.structs.replace(spec, depends_on=depends_on or None)
-
-    async def depends_on_cancelled(
-        self,
-        depends_on: list[str],
-        end: float = math.inf,
-        every: bool = False,
-    ) -> bool:
-        """Whether one of these jobs, or any that they need, was cancelled.
-
-        ``every``: each of them has to have been accepted, also beside one that was cancelled.
-        Seen on troubles, prairie-ledger-next: the first was cancelled, and the next, which nobody
-        had submitted, was not looked up.
-
-        The durable outcome of the cancelled one decides; it needs no leader to be told. A job
-        whose own outcome is known needs no look at what is before it. Rejected: one of them was
-        never accepted.
-        """
-        seen, line = set(depends_on), deque(depends_on)
-        named, cut = set(depends_on), False
-        active: dict[str, Row] | None = None
-        reads = 0
-        while line:
-            job_id = line.popleft()
-            if cut and job_id not in named:
-                break  # those that are named come first
-            if self.now() > end:
-                raise Later("still looking up the jobs that it awaits")
-            found: str | None = None
-            term = self.leading()
-            if job_id in self.finals:
-                found = self.finals[job_id][0]
-            elif (
-                term is not None
-                and job_id not in term.outcomes.in_doubt
-                and (job := term.ledger.jobs.get(job_id)) is not None
-            ):
-                found = job.over or (names.ABORTED if job.dependency_cancelled else None)
-                self.remember(job.spec)
-            else:
-                if reads == LOOK_UPS:  # deep or wide: all jobs that are not over at once
-                    active, _ = await self.store.rows(records.JOBS)
-                reads += 1
-                row = active.get(records.job_key(job_id)) if active is not None else None
-                found = await self.look_up(job_id, row)
-            if found == names.ABORTED:
-                if not every:
-                    return True
-                cut = True
-            for before in self.accepted.get(job_id, ()) if found is None else ():
-                if before not in seen:
-                    seen.add(before)
-                    line.append(before)
-        return cut
-
-    async def look_up(self, job_id: str, row: Row | None) -> str | None:
-        """A job's outcome, or None when it is not over and what it awaits is known."""
-        if row is None:
-            if (ended := await self.ended(job_id)) is not None:
-                return ended[0]
-            if job_id in self.accepted:
-                return None
-            row = await self.store.get(records.job_key(job_id))
-        if row is None:  # it has ended since, or was never accepted
-            if (ended := await self.ended(job_id)) is not None:
-                return ended[0]
-            raise Rejected(f"awaits: {job_id} was never accepted")
-        if job_id not in self.accepted:
-            self.remember(await self.whole(records.job_from(row[0])))
-        return None
-
-    async def ended(self, job_id: str) -> tuple[str, int, float | None] | None:
-        """The outcome of a job, if it has one."""
-        row = await self.store.get(records.over_key(job_id))
-        if row is None:
-            return None
-        phase, spec = records.over_from(row[0])
-        self.final(job_id, phase, spec.task_count, records.ended_at(row[0]))
-        return self.finals[job_id]
-
     def told(self, term: Term, job_id: str) -> dict[str, Any]:
         ledger = term.ledger
         return status_body(
@@ -582,25 +370,6 @@
             depends_on=ledger.awaited_by(job_id, AWAITS_TOLD),
         )
 
-    async def read(self, job_id: str) -> dict[str, Any] | None:
-        """A job's state by a consistent read; None when it was never accepted."""
-        row = await self.store.get(records.job_key(job_id))
-        if row is not None:
-            spec = await self.whole(records.job_from(row[0]))
-            self.remember(spec)
-            try:
-                cut = spec.depends_on is not None and await self.depends_on_cancelled(
-                    spec.depends_on
-                )
-            except Rejected as error:
-                raise Unanswered(str(error)) from None
-            return status_body(job_id, names.ABORTED if cut else names.QUEUED)
-        found = await self.ended(job_id)
-        if found is None:
-            return None
-        phase, task_count, _ = found
-        return status_body(job_id, phase, task_count if phase == names.DONE else 0)
-
     def status_in_term(self, term: Term, job_id: str) -> dict[str, Any] | None:
         """A job's status as this node's term knows it; None where only a read can tell."""
         job = term.ledger.jobs.get(job_id) if term.ledger.loaded else None
@@ -614,7 +383,7 @@
 
     async def poll_here(self, term: Term, job_id: str) -> dict[str, Any] | None:
         """A job's status at the leader; None when it was never accepted."""
-        return self.status_in_term(term, job_id) or await self.read(job_id)
+        return self.status_in_term(term, job_id) or await self.lookups.read(job_id)
 
     def status_in_memory(self, job_id: str) -> dict[str, Any] | None:
         """A job's status where this node can tell it without asking anybody, else None."""
@@ -629,7 +398,7 @@
         found = self.status_in_memory(job_id)
         if found is None and self.leading() is None:
             found = await self.ask_leader(names.PEER_POLL, job_id, 0.8)
-        return found if found is not None else await self.read(job_id)
+        return found if found is not None else await self.lookups.read(job_id)
 
     async def cancel(self, job_id: str) -> dict[str, Any] | None:
         known = self.finals.get(job_id)
@@ -642,7 +411,7 @@
         if found is not None:
             return found
         # Only the leader may decide it, but what is decided, or unknown, anyone can read.
-        read = await self.read(job_id)
+        read = await self.lookups.read(job_id)
         if read is None or read["phase"] in (names.DONE, names.ABORTED):
             return read
         raise Later("no leader")
--- /dev/null
+++ b/src/salthead/submissions.py
@@ -0,0 +1,148 @@
+"""Accepting jobs: what is checked, what is written, and who else may write it."""
+
+from __future__ import annotations
+
+import logging
+import time
+from typing import TYPE_CHECKING, Any
+
+import msgspec
+
+from salthead.bookkeeping import records
+from salthead.bookkeeping.store import Conflict, Refused, put
+from salthead.errors import Later, Rejected
+from salthead.protocol import names
+from salthead.protocol.messages import JOB_ID, Submission, status_body
+from salthead.transport.client import Unanswered
+
+if TYPE_CHECKING:
+    from salthead.service import Node
+
+log = logging.getLogger("salthead.submissions")
+
+# A submission has 5 s; what was looked up by then is known when it comes again.
+LOOK_UP_S = 3.0
+
+
+class Submissions:
+    """Submissions to one node."""
+
+    def __init__(self, node: Node) -> None:
+        self.node = node
+
+    def _check(self, job: Submission) -> None:
+        """422 and 503 by what is known of teams and machine types."""
+        team = next((team for team in self.node.limits.teams if team.name == job.team), None)
+        if team is None:
+            raise Rejected(f"unknown team {job.team[:60]}")
+        many = job.task_count if job.shape == names.GANG else 1
+        gpus = job.accelerators * many
+        if job.vcpus * many > team.cpus_max + 1e-6 or gpus > team.gpus_max + 1e-6:
+            raise Rejected("more than the team's limit")
+        if not self.node.machine_types:
+            raise Later("machine types not known yet")
+        if not any(
+            job.vcpus <= f.vcpus
+            and job.accelerators <= f.accelerators
+            and job.ram_gb <= f.ram_gb
+            and (job.machine_types is None or f.name in job.machine_types)
+            and (job.zone is None or job.zone in f.zones)
+            for f in self.node.machine_types.values()
+        ):
+            raise Rejected("a task fits no allowed machine type")
+        if job.machine_types is not None:  # only names that exist are kept
+            job.machine_types = sorted(
+                {name for name in job.machine_types if name in self.node.machine_types}
+            )
+
+    async def accept(self, job: Submission, forwarded: bool) -> tuple[int, dict[str, Any]]:
+        """Status and body for a submission, new or repeated."""
+        if (known := await self._known(job.job_id)) is not None:
+            return 200, known
+        try:
+            rows, dependency_cancelled = await self._rows_of(job)
+        except Rejected:
+            # A repeat of a job that was accepted must not be refused, whatever changed since.
+            if (found := await self.node.lookups.read(job.job_id)) is not None:
+                return 200, found
+            raise
+        try:
+            await self.node.store.txn(
+                {records.job_key(job.job_id): 0, records.over_key(job.job_id): 0},
+                [put(key, value) for key, value in rows],
+            )
+        except (Refused, Unanswered):
+            if forwarded:
+                raise
+            return await self._forward(job)
+        except Conflict:
+            found = await self.node.lookups.read(job.job_id)
+            if found is None:
+                raise Later("in doubt") from None
+            return 200, found
+        log.debug("accepted %s: %d tasks", job.job_id, job.task_count)
+        return 201, self._accepted(job, len(rows) - 1, dependency_cancelled)
+
+    async def _known(self, job_id: str) -> dict[str, Any] | None:
+        """The state of a job that this node knows, in its memory or as the leader."""
+        known = self.node.finals.get(job_id)
+        if known is not None:
+            return status_body(job_id, known[0], known[1] if known[0] == names.DONE else 0)
+        term = self.node.leading()
+        if term is not None and job_id in term.ledger.jobs:
+            return await self.node.poll_here(term, job_id)
+        return None
+
+    async def _rows_of(self, job: Submission) -> tuple[list[tuple[str, dict[str, Any]]], bool]:
+        """The records of a new job, and whether one that it needs was cancelled; or Rejected."""
+        self._check(job)
+        dependency_cancelled = bool(job.depends_on) and await self._check_awaits(job)
+        # The time is noted before the record is made, for what it takes up in it.
+        job.at = time.time()
+        kept = self.node.kept
+        try:
+            rows = records.job_rows(job, kept.value_kb, kept.txn_ops)
+        except records.TooLong as error:
+            raise Rejected(str(error)) from None
+        if dependency_cancelled:
+            # What it needs was cancelled, so its outcome is known before it is written.
+            value = records.over_value(job, names.ABORTED, job.at, kept.value_kb)
+            rows = [(records.over_key(job.job_id), value)]
+        return rows, dependency_cancelled
+
+    def _accepted(self, job: Submission, more: int, dependency_cancelled: bool) -> dict[str, Any]:
+        """The job is durable: what this node remembers of it, and what its user is told."""
+        if dependency_cancelled:
+            self.node.final(job.job_id, names.ABORTED, job.task_count, job.at)
+            return {"uid": job.job_id, "phase": names.ABORTED}
+        job.more = more
+        self.node.remember(job)
+        term = self.node.leading()
+        if term is not None and term.ledger.loaded:
+            term.job_records.add_job(job)
+        return {"uid": job.job_id, "phase": names.QUEUED}
+
+    async def _check_awaits(self, job: Submission) -> bool:
+        """Whether a job that this one needs was cancelled; Rejected if one was never accepted."""
+        depends_on = job.depends_on or []
+        for job_id in depends_on:
+            if job_id == job.job_id or not JOB_ID.match(job_id):
+                raise Rejected(f"awaits: {job_id[:60]!r} is no job that was accepted")
+        return await self.node.lookups.depends_on_cancelled(
+            depends_on, self.node.now() + LOOK_UP_S, every=True
+        )
+
+    async def _forward(self, job: Submission) -> tuple[int, dict[str, Any]]:
+        """Let another node accept a job that this one can't write: the service may refuse this
+        node alone. A job has one id, so that two nodes may try to accept it."""
+        for peer in self.node.peers.values() if self.node.refused_alone() else ():
+            try:
+                answer = await peer.call(
+                    "POST", names.PEER_SUBMIT, msgspec.to_builtins(job), timeout=0.8
+                )
+            except Unanswered as error:
+                self.node.note("pass on", error)
+                continue
+            if answer.status in (200, 201) and answer.body.get("uid") == job.job_id:
+                return answer.status, answer.body
+        raise Later("the state service does not answer")
--- a/src/salthead/term.py
+++ b/src/salthead/term.py
@@ -284,7 +284,7 @@
     async def cancel(self, job_id: str) -> dict[str, Any] | None:
         job = self.ledger.jobs.get(job_id) if self.ledger.loaded else None
         if job is None:
-            found = await self.node.read(job_id)
+            found = await self.node.lookups.read(job_id)
             if found is None or found["phase"] in (names.DONE, names.ABORTED):
                 return found
             row = await self.store.get(records.job_key(job_id))
--- a/src/salthead/transport/handlers.py
+++ b/src/salthead/transport/handlers.py
@@ -8,6 +8,7 @@
 
 from salthead import metrics
 from salthead.bookkeeping.store import Conflict, NoLease, Refused
+from salthead.errors import Later, Rejected
 from salthead.protocol import names
 from salthead.protocol.messages import (
     JOB_ID,
@@ -16,7 +17,7 @@
     decode_report,
     decode_submission,
 )
-from salthead.service import Later, Node, Rejected
+from salthead.service import Node
 from salthead.term import Term
 from salthead.transport.client import Unanswered
 from salthead.transport.http import PrefixRoutes, Reply, Request, Route, Router
@@ -167,7 +168,7 @@
         status = self.node.status_in_term(term, job_id)
         if status is not None:
             return Reply(200, status)
-        return _job_reply(job_id, self.node.read)
+        return _job_reply(job_id, self.node.lookups.read)
 
     @staticmethod
     def _cancel(term: Term, job_id: str) -> Awaitable[Reply]:
--- a/tests/standins.py
+++ b/tests/standins.py
@@ -20,9 +20,10 @@
 
 import production
 from helpers import FLAVORS, LIMITS, given, settings
+from salthead.errors import Rejected
 from salthead.policy import NO_POLICY, Policy
 from salthead.protocol.messages import Malformed, Submission, encode
-from salthead.service import Node, Rejected
+from salthead.service import Node
 from salthead.transport.client import Answer, Unanswered
 
 
--- a/tests/test_meetings.py
+++ b/tests/test_meetings.py
@@ -71,7 +71,7 @@
         other = others(world, leader)[0]
         node = world.nodes[other]
         assert node is not None
-        found = await node.read("req-1")
+        found = await node.lookups.read("req-1")
         assert found is not None and found["phase"] == "aborted", "another node confirms it"
         world.hear("req-1", found["phase"], world.now())
         await asyncio.sleep(0.5)
@@ -116,7 +116,7 @@
                 assert node is not None
                 for job_id in ("req-1", "req-2"):  # as if the leader had not answered that node
                     began = world.now()
-                    found = await node.read(job_id)
+                    found = await node.lookups.read(job_id)
                     assert found is not None
                     world.hear(job_id, found["phase"], began)
             for job_id in ("req-2", "req-1"):  # what awaits it first: the leader has read neither
--- a/tests/test_pipelines.py
+++ b/tests/test_pipelines.py
@@ -356,7 +356,7 @@
             return await inner(*args)
 
         world.state.handle = handle  # type: ignore[method-assign]
-        found = await node.read(asked)
+        found = await node.lookups.read(asked)
         return found, count
 
     found, reads = run(day)
