--- a/src/salthead/term.py
+++ b/src/salthead/term.py
@@ -102,7 +102,7 @@
         # Here, so that its libraries are loaded only where the policy asks for them.
         from salthead.zone_loop import ZoneLoop
 
-        return ZoneLoop(self, policy)
+        return ZoneLoop(self, policy, self.node.policy.networks)
 
     def new_pages(self) -> tuple[Pages, Pages]:
         kb = self.kept.value_kb
@@ -284,7 +284,7 @@
     async def cancel(self, job_id: str) -> dict[str, Any] | None:
         job = self.ledger.jobs.get(job_id) if self.ledger.loaded else None
         if job is None:
-            found = await self.node.read(job_id)
+            found = await self.node.lookups.read(job_id)
             if found is None or found["phase"] in (names.DONE, names.ABORTED):
                 return found
             row = await self.store.get(records.job_key(job_id))
