--- a/src/salthead/metrics.py
+++ b/src/salthead/metrics.py
@@ -56,6 +56,13 @@
     found[1].observe(seconds)
 
 
+def forget_zones() -> None:
+    """A node that leads no more knows nothing of zones: what it last saw must not stay on show."""
+    for gauge in (ZONES, ZONE_OPEN, NETWORK_UNHEARD):
+        gauge.clear()
+    DISPLACED.set(0)
+
+
 def exposition() -> bytes:
     """All metrics in the Prometheus text format."""
     return generate_latest(REGISTRY)
--- a/src/salthead/zone_loop.py
+++ b/src/salthead/zone_loop.py
@@ -45,8 +45,14 @@
         term.ledger.zone_hooks = self.recovery
 
     async def loop(self) -> None:
-        """Until the term ends."""
-        await self._load()
+        """Until the term ends; then this node says nothing of zones any more."""
+        try:
+            await self._load()
+            await self._follow()
+        finally:
+            metrics.forget_zones()
+
+    async def _follow(self) -> None:
         while True:
             if self.term.valid():  # else others lead, and what is silent here says nothing
                 self.recovery.observe(self.term.now())
--- a/tests/test_zone_days.py
+++ b/tests/test_zone_days.py
@@ -13,6 +13,7 @@
 
 import production
 from helpers import LIMITS, spec
+from salthead import metrics
 from salthead.policy import NO_POLICY, Policy
 from salthead.protocol.messages import Submission
 from salthead.zones.state import ZonePhase
@@ -370,3 +371,16 @@
 
     started = run(scene)
     assert (0 < started <= 8) if policy is POLICY else (started >= 12)
+
+
+def test_metrics_of_zones_end_with_the_term() -> None:
+    async def scene() -> tuple[bytes, bytes]:
+        world = ZoneDay(1, nodes=1)
+        await asyncio.sleep(12.0)
+        leads = metrics.exposition()
+        await world.crash("n0")
+        return leads, metrics.exposition()
+
+    leads, ended = run(scene)
+    assert b'salthead_zone{state="available",zone="south"} 1.0' in leads
+    assert b"salthead_zone{" not in ended
