--- a/src/salthead/coordination/fleet.py
+++ b/src/salthead/coordination/fleet.py
@@ -31,8 +31,8 @@
 log = logging.getLogger("salthead.fleet")
 
 HIRE_MOST = 50  # in one call
-# In one plan: the least, and a part of the fleet. At 50 a plan, 2,000 of 4,000 machines were hired
-# in 40 s; a part of what there is grows as fast as any fleet, and changes nothing below 500.
+# In one plan, of a kind: the least, and a part of the fleet, so that a fleet of any size can grow.
+# Up to 500 machines the least is what counts.
 PLAN_HIRES_LEAST, PLAN_HIRES_PART = 50, 0.1
 # A line longer than a boot counts once it has lasted for this part of a boot, while no more than
 # this part of the fleet is still on its way.
--- a/tests/test_large_fleet.py
+++ b/tests/test_large_fleet.py
@@ -99,7 +99,7 @@
 
 @pytest.mark.parametrize(("machines", "hired"), [(10, 50), (400, 50), (2000, 200), (4000, 400)])
 def test_a_plan_hires_more_for_a_larger_fleet(machines: int, hired: int) -> None:
-    # 50 of a kind in a plan each second took 40 s for 2,000 machines.
+    # A fixed number would be a smaller and smaller part of a fleet that has to grow.
     led = full(machines, jobs=8)
     job(led, job_id="req-99", task_count=100_000, vcpus=2.0, estimated_run_s=500.0)
     assert sum(plan(led, 10.0).hires.values()) == hired
