--- a/tests/test_zones.py
+++ b/tests/test_zones.py
@@ -257,6 +257,34 @@
     assert recovery.hire_most(0) is None and recovery.hire_most(1) == 0
 
 
+def test_a_machine_that_comes_up_in_a_lost_zone_is_withheld_at_once() -> None:
+    # Its first report would be answered with starts, before the zones are looked at again.
+    led, recovery = two_zones()
+    lose(led, recovery)
+    assert machine(led, "s-new", now=20.5, zone="south").withheld
+    assert not machine(led, "n-new", now=20.5, zone="north").withheld
+
+
+def test_nothing_is_judged_before_a_takeover_is_complete() -> None:
+    # The roster is read, and nobody has reported yet: all of it looks silent.
+    led, recovery = two_zones()
+    led.ready = False
+    for now in range(1, 20):
+        recovery.observe(float(now))
+    assert [state.phase for state in recovery.states] == [AVAILABLE, AVAILABLE]
+    led.ready = True
+    recovery.observe(20.0)
+    assert [state.phase for state in recovery.states] == [SUSPECTED, SUSPECTED]
+
+
+def test_a_gang_is_planned_for_no_zone_in_which_nothing_is_hired() -> None:
+    led, recovery = two_zones()
+    one = job(led, shape="gang", task_count=2, vcpus=7.0, single_zone=True)
+    lose(led, recovery)
+    zones = {kind[1] for kind in fleet.kinds_for(led, one, fleet.Refusals(), 20.0)}
+    assert recovery.hire_most(1) == 0 and zones == {0}
+
+
 def test_the_return_opens_machines_step_by_step() -> None:
     led, recovery = two_zones()
     lose(led, recovery)
