--- a/tests/test_start.py
+++ b/tests/test_start.py
@@ -71,7 +71,7 @@
 
 
 def test_tasks_that_lose_a_cancellation_are_ended_all_the_same() -> None:
-    # A run of test_zone_loopback.py hung at its end, in the one cancellation that asyncio.run makes.
+    # A run of test_zone_loopback.py hung at its end: asyncio.run cancels each task only once.
     async def deaf_twice() -> None:
         for _ in range(3):
             with contextlib.suppress(asyncio.CancelledError):
