--- a/src/salthead/zones/evacuation.py
+++ b/src/salthead/zones/evacuation.py
@@ -7,7 +7,8 @@
 from salthead.coordination.model import Job, Machine
 from salthead.protocol import names
 
-# A claim is renewed by each pass that finds the gang waiting, so it may end soon after.
+# A claim lasts for so many report periods: by then the gang's other machines are up, or room is kept
+# for it on machines that empty, and another gang may use this one.
 CLAIM_PERIODS = 3.0
 # Arrays of this urgency and below are the low-priority ones, which wait for whole gangs.
 LOW_RANK = names.URGENCIES.index("normal")
@@ -43,6 +44,14 @@
         if job.job_id in displaced and _lacks(ledger, job, machine, now):
             ledger.keep(machine, job.job_id, until)
             return
+        if not job.gang and job.waiting() and _suits(ledger, job, machine):
+            return  # it stands before the gangs in line, and is served first
+
+
+def _suits(ledger: Ledger, job: Job, machine: Machine) -> bool:
+    """Whether a task of the job may start on the machine now."""
+    fits = machine.fits(job.need) and placement.allows(job, machine)
+    return fits and placement.quota_left(ledger, job) > 0
 
 
 def _lacks(ledger: Ledger, job: Job, machine: Machine, now: float) -> bool:
--- a/src/salthead/zones/recovery.py
+++ b/src/salthead/zones/recovery.py
@@ -72,6 +72,8 @@
         self.usual = StartTimes()
         # By zone: jobs, and when they last lost tasks with a machine there.
         self.lost_tasks: list[dict[str, float]] = []
+        # Zones with machines that were lost before they reported to this leader.
+        self.unknown_losses: set[int] = set()
         self.displaced_jobs: dict[str, float] = {}  # of zones that are lost, and not back yet
         self.written: dict[int, Written] = {}
         self.hire_bounds: list[int | None] = []
@@ -91,6 +93,8 @@
             machine.withheld = self._withholds(machine.zone) and not self._is_open(machine)
         elif machine.phase == LOST:
             self.sets.lease_over(machine.zone, machine.index)
+            if not machine.joined:
+                self.unknown_losses.add(machine.zone)
         elif machine.phase == GONE:
             self.sets.gone(machine.zone, machine.index)
 
@@ -150,6 +154,8 @@
         state = self.states[zone]
         name = self.ledger.zones[zone]
         log.info("zone %s is %s%s", name, state.phase, f": {state.reason}" if state.reason else "")
+        if state.phase is ZonePhase.LOST and zone in self.unknown_losses:
+            self._displace_earlier_jobs(zone, now)
         if state.phase is ZonePhase.RECOVERING:
             self.returns[zone] = SlowStart(self.policy, zone, self.rng, now)
         else:
@@ -157,6 +163,14 @@
         self._withhold(zone)
         self.ledger.on_change()
 
+    def _displace_earlier_jobs(self, zone: int, now: float) -> None:
+        """What ran on machines that never reported to this leader is not known, so that all jobs
+        which an earlier leader may have started count as displaced."""
+        self.unknown_losses.discard(zone)
+        for job in self.ledger.live.values():
+            if not job.fresh and (job.waiting() > 0 or job.failed):
+                self.lost_tasks[zone].setdefault(job.job_id, now)
+
     def _continue_return(self, zone: int, now: float) -> None:
         current, state = self.returns[zone], self.states[zone]
         if current.advance(self._progress(zone, current, now), self.usual, now):
