--- a/src/salthead/job_records.py
+++ b/src/salthead/leader/job_records.py
@@ -16,7 +16,7 @@
 from salthead.transport.client import Unanswered
 
 if TYPE_CHECKING:
-    from salthead.term import Term
+    from salthead.leader.term import Term
 
 log = logging.getLogger("salthead.job_records")
 
--- a/src/salthead/lead.py
+++ b/src/salthead/leader/lead.py
@@ -12,7 +12,7 @@
 from salthead.transport.client import Caller, Unanswered
 
 if TYPE_CHECKING:
-    from salthead.term import Term
+    from salthead.leader.term import Term
 
 log = logging.getLogger("salthead.lead")
 
--- a/src/salthead/outcomes.py
+++ b/src/salthead/leader/outcomes.py
@@ -21,7 +21,7 @@
 from salthead.transport.client import Unanswered
 
 if TYPE_CHECKING:
-    from salthead.term import Term
+    from salthead.leader.term import Term
 
 log = logging.getLogger("salthead.outcomes")
 
--- a/src/salthead/rental.py
+++ b/src/salthead/leader/rental.py
@@ -19,7 +19,7 @@
 from salthead.transport.limits import Budget
 
 if TYPE_CHECKING:
-    from salthead.term import Term
+    from salthead.leader.term import Term
 
 log = logging.getLogger("salthead.rental")
 
--- a/src/salthead/term.py
+++ b/src/salthead/leader/term.py
@@ -25,19 +25,19 @@
 from salthead.coordination.ledger import Ledger
 from salthead.coordination.model import UP, Job, Machine
 from salthead.coordination.zone_leases import counted_until
-from salthead.job_records import JobRecords
-from salthead.lead import Lead
-from salthead.outcomes import Outcomes
+from salthead.leader.job_records import JobRecords
+from salthead.leader.lead import Lead
+from salthead.leader.outcomes import Outcomes
+from salthead.leader.rental import REST_FACTOR, Rental
+from salthead.leader.views import Views
+from salthead.leader.worker_calls import WorkerCalls
 from salthead.protocol import names
 from salthead.protocol.messages import Report
-from salthead.rental import REST_FACTOR, Rental
 from salthead.transport.client import Unanswered
-from salthead.views import Views
-from salthead.worker_calls import WorkerCalls
 
 if TYPE_CHECKING:
-    from salthead.service import Node
-    from salthead.zone_loop import ZoneLoop
+    from salthead.leader.zone_loop import ZoneLoop
+    from salthead.node.node import Node
 
 log = logging.getLogger("salthead.term")
 
@@ -102,7 +102,7 @@
         if policy is None or not policy.enabled:
             return None
         # Here, so that its libraries are loaded only where the policy asks for them.
-        from salthead.zone_loop import ZoneLoop
+        from salthead.leader.zone_loop import ZoneLoop
 
         return ZoneLoop(self, policy, self.node.policy.networks)
 
--- a/src/salthead/views.py
+++ b/src/salthead/leader/views.py
@@ -10,7 +10,7 @@
 from salthead.coordination.model import UP
 
 if TYPE_CHECKING:
-    from salthead.term import Term
+    from salthead.leader.term import Term
     from salthead.zones.recovery import ZoneView
 
 log = logging.getLogger("salthead.views")
--- a/src/salthead/worker_calls.py
+++ b/src/salthead/leader/worker_calls.py
@@ -16,7 +16,7 @@
 from salthead.transport.client import Answer, Unanswered
 
 if TYPE_CHECKING:
-    from salthead.term import Term
+    from salthead.leader.term import Term
 
 # A machine that is well answers a direct call in milliseconds; a silent one is asked again, for
 # longer, when all others have been.
--- a/src/salthead/zone_loop.py
+++ b/src/salthead/leader/zone_loop.py
@@ -12,8 +12,8 @@
 from salthead.zones.state import ZonePhase
 
 if TYPE_CHECKING:
+    from salthead.leader.term import Term
     from salthead.networks.silence import NetworkSilence
-    from salthead.term import Term
 
 OBSERVE_GAP_S = 1.0
 
--- a/src/salthead/election.py
+++ b/src/salthead/node/election.py
@@ -11,7 +11,7 @@
 from salthead.coordination import lease
 
 if TYPE_CHECKING:
-    from salthead.service import Node
+    from salthead.node.node import Node
 
 WATCH_S = 8.0  # one watch of the leader's key
 RETRY_S, CONFLICT_RETRY_S, TROUBLE_RETRY_S = 0.2, 0.05, 0.4
--- a/src/salthead/transport/handlers.py
+++ b/src/salthead/node/handlers.py
@@ -9,6 +9,8 @@
 from salthead import metrics
 from salthead.bookkeeping.store import Conflict, NoLease, Refused
 from salthead.errors import Later, Rejected
+from salthead.leader.term import Term
+from salthead.node.node import Node
 from salthead.protocol import names
 from salthead.protocol.messages import (
     JOB_ID,
@@ -17,8 +19,6 @@
     decode_report,
     decode_submission,
 )
-from salthead.service import Node
-from salthead.term import Term
 from salthead.transport.client import Unanswered
 from salthead.transport.http import PrefixRoutes, Reply, Request, Route, Router
 
--- a/src/salthead/job_lookups.py
+++ b/src/salthead/node/job_lookups.py
@@ -16,7 +16,7 @@
 from salthead.transport.client import Unanswered
 
 if TYPE_CHECKING:
-    from salthead.service import Node
+    from salthead.node.node import Node
 
 # Single reads in a walk over what a job needs, before all active jobs are read at once.
 LOOK_UPS = 12
--- a/src/salthead/service.py
+++ b/src/salthead/node/node.py
@@ -23,9 +23,12 @@
 )
 from salthead.coordination import lease
 from salthead.coordination.zone_leases import ZoneLease
-from salthead.election import Election
 from salthead.errors import Later
-from salthead.job_lookups import JobLookups
+from salthead.leader.term import Term
+from salthead.node.election import Election
+from salthead.node.job_lookups import JobLookups
+from salthead.node.sockets import Sockets
+from salthead.node.submissions import Submissions
 from salthead.policy import NO_POLICY, Policy
 from salthead.protocol import names
 from salthead.protocol.messages import (
@@ -37,12 +40,9 @@
     status_body,
 )
 from salthead.settings import Settings
-from salthead.sockets import Sockets
-from salthead.submissions import Submissions
-from salthead.term import Term
 from salthead.transport.client import Caller, Unanswered
 
-log = logging.getLogger("salthead.service")
+log = logging.getLogger("salthead.node")
 
 # A worker whose leader hangs tries the next node after its time-out of 4 s and 1 s more.
 REDIRECT_WINDOW_S = 6.0
--- a/src/salthead/transport/server.py
+++ b/src/salthead/node/server.py
@@ -8,11 +8,11 @@
 
 from salthead import metrics
 from salthead.coordination.placement import FRESH_PERIODS
+from salthead.node.handlers import ClientHandlers, PeerHandlers
+from salthead.node.node import Node
 from salthead.protocol.messages import MAX_BODY
-from salthead.service import Node
 from salthead.settings import split_endpoint
 from salthead.transport.connections import Connections
-from salthead.transport.handlers import ClientHandlers, PeerHandlers
 from salthead.transport.http import Router
 
 SWEEP_S = 30.0
--- a/src/salthead/submissions.py
+++ b/src/salthead/node/submissions.py
@@ -16,7 +16,7 @@
 from salthead.transport.client import Unanswered
 
 if TYPE_CHECKING:
-    from salthead.service import Node
+    from salthead.node.node import Node
 
 log = logging.getLogger("salthead.submissions")
 
--- a/tests/production.py
+++ b/tests/production.py
@@ -68,7 +68,7 @@
 
     @property
     def node(self) -> Any:
-        return self.module("service").Node
+        return self.module("service" if self.package == NAME else "node.node").Node
 
     @property
     def settings(self) -> Any:
@@ -83,7 +83,7 @@
         """What a node raises where the answer to a request is 503."""
         if self.package == NAME:
             return self.module("transport.server").CANT_NOW  # type: ignore[no-any-return]
-        return self.module("transport.handlers").UNDECIDED  # type: ignore[no-any-return]
+        return self.module("node.handlers").UNDECIDED  # type: ignore[no-any-return]
 
     @property
     def messages(self) -> Any:
--- a/tests/standins.py
+++ b/tests/standins.py
@@ -21,9 +21,9 @@
 import production
 from helpers import FLAVORS, LIMITS, given, settings
 from salthead.errors import Rejected
+from salthead.node.node import Node
 from salthead.policy import NO_POLICY, Policy
 from salthead.protocol.messages import Malformed, Submission, encode
-from salthead.service import Node
 from salthead.transport.client import Answer, Unanswered
 
 
--- a/tests/test_connections.py
+++ b/tests/test_connections.py
@@ -11,13 +11,13 @@
 from tornado.testing import AsyncTestCase, gen_test
 
 from helpers import settings
+from salthead.node.handlers import ClientHandlers
+from salthead.node.node import Node
+from salthead.node.server import listen
+from salthead.node.sockets import Sockets
 from salthead.protocol.messages import encode
-from salthead.service import Node
-from salthead.sockets import Sockets
 from salthead.transport.client import Caller, Unanswered
 from salthead.transport.connections import Connections
-from salthead.transport.handlers import ClientHandlers
-from salthead.transport.server import listen
 
 
 class Stream:
--- a/tests/test_http.py
+++ b/tests/test_http.py
@@ -14,9 +14,9 @@
 from helpers import FLAVORS, settings
 from salthead.bookkeeping import records
 from salthead.bookkeeping.store import Conflict, Refused
+from salthead.node.handlers import ClientHandlers
+from salthead.node.node import Node
 from salthead.protocol.messages import Submission, encode
-from salthead.service import Node
-from salthead.transport.handlers import ClientHandlers
 
 JOB: dict[str, Any] = {
     "uid": "req-7",
--- a/tests/test_large_fleet.py
+++ b/tests/test_large_fleet.py
@@ -17,10 +17,10 @@
 from salthead.coordination import ledger as ledgers
 from salthead.coordination.ledger import Ledger
 from salthead.coordination.model import UP
-from salthead.rental import LIST_GAP_S, Rental
-from salthead.service import Node
-from salthead.transport.handlers import ClientHandlers
-from salthead.transport.server import listen
+from salthead.leader.rental import LIST_GAP_S, Rental
+from salthead.node.handlers import ClientHandlers
+from salthead.node.node import Node
+from salthead.node.server import listen
 from standins import World, run
 from test_scale import calls, full, shown
 
--- a/tests/test_long_day.py
+++ b/tests/test_long_day.py
@@ -9,9 +9,9 @@
 import pytest
 
 from helpers import spec
-from salthead import service
 from salthead.coordination import ledger, zone_leases
 from salthead.coordination.pipelines import Pipelines
+from salthead.node import node as node_module
 from standins import World, run
 
 PERIODS = 3
@@ -64,7 +64,7 @@
 def test_jobs_leave_no_more_behind_than_the_caches_hold(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
-    monkeypatch.setattr(service, "FINALS_KEPT", CACHE)
+    monkeypatch.setattr(node_module, "FINALS_KEPT", CACHE)
     monkeypatch.setattr(Pipelines, "ENDED_KEPT", CACHE)
     monkeypatch.setattr(ledger, "TEAMS_KEPT", CACHE)
     monkeypatch.setattr(ledger, "GONE_KEPT", CACHE)
--- a/tests/test_meetings.py
+++ b/tests/test_meetings.py
@@ -16,7 +16,7 @@
 from helpers import LIMITS, limits, spec
 from salthead.coordination.lease import blind_s, leader_ttl, surely_over
 from salthead.coordination.ledger import Ledger
-from salthead.service import Node
+from salthead.node.node import Node
 from standins import World, run
 
 CANCEL_S = LIMITS["workers"]["cancel_s"]
--- a/tests/test_pipelines.py
+++ b/tests/test_pipelines.py
@@ -15,8 +15,8 @@
 from salthead.coordination import fleet, order, placement, preemption, waiting
 from salthead.coordination.ledger import Ledger
 from salthead.coordination.pipelines import Pipelines
+from salthead.node.node import Node
 from salthead.protocol import names
-from salthead.service import Node
 from standins import World, run
 
 NEVER = (math.inf, math.inf)
@@ -418,7 +418,7 @@
 
 
 def production_cant_now() -> tuple[type[Exception], ...]:
-    from salthead.transport.handlers import UNDECIDED
+    from salthead.node.handlers import UNDECIDED
 
     return UNDECIDED
 
--- a/tests/test_scale.py
+++ b/tests/test_scale.py
@@ -22,7 +22,7 @@
 from salthead.bookkeeping import records
 from salthead.coordination import fleet, placement
 from salthead.coordination.ledger import Ledger
-from salthead.views import OVERVIEW_ROWS
+from salthead.leader.views import OVERVIEW_ROWS
 from standins import World, run
 
 
@@ -125,7 +125,7 @@
         [
             sys.executable,
             "-c",
-            "import sys, salthead.serve, salthead.service, salthead.transport.server\n"
+            "import sys, salthead.serve, salthead.node.node, salthead.node.server\n"
             "print(*sorted(sys.modules))",
         ],
         capture_output=True,
