--- /dev/null
+++ b/src/salthead/coordination/machine_health.py
@@ -0,0 +1,68 @@
+"""Machines whose tasks fail, and machines that nothing seems to reach."""
+
+from __future__ import annotations
+
+import logging
+from typing import TYPE_CHECKING
+
+from salthead.coordination.model import Job, Machine
+
+if TYPE_CHECKING:
+    from salthead.coordination.ledger import Ledger
+
+log = logging.getLogger("salthead.reports")
+
+# Errors of different jobs in a row, with nothing completed between, that condemn a machine.
+SICK_ERRORS = 2
+# A job that fails on this many machines and completes nowhere is taken to be at fault itself.
+JOB_AT_FAULT = 3
+ERROR_PAUSE_S, ERROR_MOST_S = 5.0, 30.0
+
+
+def mark_unresponsive(ledger: Ledger, machine: Machine, now: float, why: str) -> None:
+    """Its reports arrive, but answers do not reach it: it gets no work until one does."""
+    if machine.unresponsive_since is None:
+        log.info("machine %s is unresponsive: %s", machine.name, why)
+        machine.unresponsive_since = now
+        machine.unresponsive_times += 1
+        ledger.on_change()
+
+
+def mark_responsive(ledger: Ledger, machine: Machine, now: float) -> None:
+    """An unresponsive machine answered a call: it is tried again after a growing pause."""
+    if machine.unresponsive_since is not None:
+        log.info("machine %s responds again", machine.name)
+        machine.unresponsive_since = None
+        machine.trusted_again_at = (
+            now
+            + min(  # bounded, or jobs that it fits would wait for minutes
+                ledger.limits.workers.report_s * 2.0**machine.unresponsive_times,
+                ledger.limits.workers.lease_s,
+            )
+        )
+        machine.freed = True
+
+
+def errored(ledger: Ledger, job: Job, machine: Machine, now: float) -> None:
+    """Tell a sick machine from a job that fails everywhere."""
+    if ledger.zone_hooks is not None:
+        ledger.zone_hooks.failed(machine)
+    job.error_machines.add(machine.name)
+    machine.error_jobs.add(job.job_id)
+    machine.error_until = now + min(ERROR_MOST_S, ERROR_PAUSE_S * len(machine.error_jobs))
+    job.wait_until = max(job.wait_until, now + min(30.0, 1.0 * len(job.error_machines)))
+    blamed = [
+        job_id
+        for job_id in machine.error_jobs
+        if (other := ledger.jobs.get(job_id)) is None
+        or other.n_done > 0
+        or len(other.error_machines) < JOB_AT_FAULT
+    ]
+    log.info(
+        "task of %s failed on %s (%d jobs failed there)",
+        job.job_id,
+        machine.name,
+        len(machine.error_jobs),
+    )
+    if len(blamed) >= SICK_ERRORS and not machine.condemned:
+        machine.condemned = "fails its tasks"
--- a/src/salthead/leader/worker_calls.py
+++ b/src/salthead/leader/worker_calls.py
@@ -8,9 +8,9 @@
 from typing import TYPE_CHECKING, Any
 
 from salthead.bookkeeping.store import TROUBLES
-from salthead.coordination import placement, reports
+from salthead.coordination import machine_health, placement
 from salthead.coordination.model import LOST, UP, Machine
-from salthead.coordination.reports import MAX_ORDERS
+from salthead.coordination.task_reports import MAX_ORDERS
 from salthead.evidence.gate import Action, Fact
 from salthead.protocol import names
 from salthead.protocol.messages import Report, shape, stop_order
@@ -151,7 +151,7 @@
         with contextlib.suppress(Unanswered):
             answer = await self._command(machine, machine.session, [], PROBE_S)
             if answer.status in (200, 409):
-                reports.mark_responsive(self.term.ledger, machine, self.term.now())
+                machine_health.mark_responsive(self.term.ledger, machine, self.term.now())
 
     def send_stops(self) -> None:
         """Tell stops at once, rather than in the answer to the next report.
--- a/tests/test_ledger.py
+++ b/tests/test_ledger.py
@@ -5,7 +5,7 @@
 import pytest
 
 from helpers import job, ledger, machine, ready, report, spec, verbs
-from salthead.coordination import fleet, placement, reports, strays
+from salthead.coordination import fleet, machine_health, placement, strays
 from salthead.coordination.lease import surely_over
 from salthead.coordination.model import LOST, UP
 from salthead.protocol.messages import Submission
@@ -562,11 +562,11 @@
 
     def test_one_that_heals_is_used_again_after_a_pause_that_grows(self) -> None:
         led, found, one = self.deaf()
-        reports.mark_responsive(led, found, 11.0)
+        machine_health.mark_responsive(led, found, 11.0)
         pause = found.trusted_again_at - 11.0
         assert pause > 0 and not found.responsive(11.0) and found.responsive(found.trusted_again_at)
         found.unresponsive_since, found.unresponsive_times = 40.0, 2
-        reports.mark_responsive(led, found, 41.0)
+        machine_health.mark_responsive(led, found, 41.0)
         assert found.trusted_again_at - 41.0 == 2 * pause
 
     def test_one_that_does_not_is_replaced(self) -> None:
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -5,7 +5,7 @@
 import pytest
 
 from helpers import job, machine, ready, report, verbs
-from salthead.coordination import fleet, gangs, order, placement, preemption, reports
+from salthead.coordination import fleet, gangs, machine_health, order, placement, preemption
 from salthead.coordination.estimates import left_s
 from salthead.coordination.ledger import Ledger
 from salthead.coordination.model import Job
@@ -830,8 +830,8 @@
     led = ready()
     found = machine(led, "m1")
     found.unresponsive_since, found.unresponsive_times = 5.0, times
-    reports.mark_responsive(led, found, 10.0)
+    machine_health.mark_responsive(led, found, 10.0)
     assert found.trusted_again_at - 10.0 <= led.limits.workers.lease_s
     for n in range(times):
-        reports.errored(led, job(led, job_id=f"req-{n + 100}"), found, 20.0)
+        machine_health.errored(led, job(led, job_id=f"req-{n + 100}"), found, 20.0)
     assert found.error_until - 20.0 <= 30.0
