--- a/src/salthead/leader/job_records.py
+++ b/src/salthead/leader/job_records.py
@@ -41,13 +41,13 @@
         parts, _ = await self.term.store.rows(records.PARTS)
         roster, _ = await self.term.store.rows(records.ROSTER)
         now = self.now()
-        self.term.parts, self.term.roster = self.term.new_pages()
+        self.term.pages.parts, self.term.pages.roster = self.term.pages.new_pages()
         # After the jobs: a record and what continues it are written together.
         rows, _ = await self.term.store.rows(records.AWAITS)
         rest = {key: value for key, (value, _) in rows.items()}
         for key, (value, stamp) in jobs.items():
             self.take_row(key, value, stamp, rest, loading=True)
-        self.term.leftovers = {
+        self.term.pages.leftovers = {
             key: job_id for key in rest if (job_id := key.split("/")[1]) not in ledger.jobs
         }
         self.load_parts(
@@ -55,7 +55,7 @@
             {key: stamp for key, (_, stamp) in parts.items()},
         )
         for key, (value, stamp) in roster.items():
-            self.term.roster.load(key, value, stamp)
+            self.term.pages.roster.load(key, value, stamp)
             for name, (machine_type, zone, spot, endpoint) in value.items():
                 machine = ledger.add_machine(
                     name, machine_type, zone, bool(spot), now, rostered=True
@@ -74,42 +74,46 @@
         ledger = self.ledger
         again: set[str] = set()
         for key, content in pages.items():
-            self.term.parts.load(key, content, stamps[key])
+            self.term.pages.parts.load(key, content, stamps[key])
             # A stretch may stand on two pages, if a writer ended between them: what either names
             # is done.
             for name, item in content.items():
-                job_id, done = self.term.stretches.read(name, item)
+                job_id, done = self.term.pages.stretches.read(name, item)
                 job = ledger.jobs.get(job_id)
                 if job is not None:
                     ledger.load_done(job, done)
-                    if not self.term.stretches.own(item):
+                    if not self.term.pages.stretches.own(item):
                         again.add(job_id)
-        again |= {records.part_from(name)[0] for name in self.term.parts.twice}
-        for name in list(self.term.parts.where):
+        again |= {records.part_from(name)[0] for name in self.term.pages.parts.twice}
+        for name in list(self.term.pages.parts.where):
             if records.part_from(name)[0] not in ledger.jobs:
-                self.term.parts.drop(name)
+                self.term.pages.parts.drop(name)
         for job_id in again & ledger.jobs.keys():
             # Written by another size, or twice: once more, as this version writes it.
             job = ledger.jobs[job_id]
             self.set_parts(job, [n for n in range(job.spec.task_count) if job.done[n]])
-            own = set(self.term.stretches.names(job_id, job.spec.task_count))
-            for name in [n for n in self.term.parts.where if records.part_from(n)[0] == job_id]:
+            own = set(self.term.pages.stretches.names(job_id, job.spec.task_count))
+            for name in [
+                n for n in self.term.pages.parts.where if records.part_from(n)[0] == job_id
+            ]:
                 if name not in own:
-                    self.term.parts.drop(name)
+                    self.term.pages.parts.drop(name)
 
     def set_parts(self, job: Job, changed: Iterable[int]) -> None:
         """Put the items that hold these tasks on the pages, as they are now."""
-        at: dict[int, None] = dict.fromkeys(self.term.stretches.base(index) for index in changed)
+        at: dict[int, None] = dict.fromkeys(
+            self.term.pages.stretches.base(index) for index in changed
+        )
         ahead: list[str] = []
         for base in sorted(at, reverse=True):
             # The first cut of a stretch, whose name every version knows, comes after the others:
             # it may hold them all as yet.
-            end = min(self.term.stretches.end(base), job.spec.task_count)
-            name = self.term.stretches.name(job.job_id, base)
-            first = base % self.term.stretches.size == 0
-            self.term.parts.set(
+            end = min(self.term.pages.stretches.end(base), job.spec.task_count)
+            name = self.term.pages.stretches.name(job.job_id, base)
+            first = base % self.term.pages.stretches.size == 0
+            self.term.pages.parts.set(
                 name,
-                self.term.stretches.item(base, (n for n in range(base, end) if job.done[n])),
+                self.term.pages.stretches.item(base, (n for n in range(base, end) if job.done[n])),
                 ahead if first else (),
             )
             ahead = [] if first else [*ahead, name]
--- a/src/salthead/leader/outcomes.py
+++ b/src/salthead/leader/outcomes.py
@@ -170,7 +170,7 @@
         """The outcome is durable, and may be told."""
         job_id = job.job_id
         self.node.final(job_id, phase, job.spec.task_count, at)
-        self.term.tidy(job)
+        self.term.pages.tidy(job)
         self.ledger.end_job(job, phase, self.term.now())
         self.due.pop(job_id, None)
         self.in_doubt.pop(job_id, None)
--- a/src/salthead/leader/rental.py
+++ b/src/salthead/leader/rental.py
@@ -241,7 +241,7 @@
                 decision.reason,
             )
             self.ledger.machine_gone(machine, now)
-            self.term.roster.drop(machine.name)
+            self.term.pages.roster.drop(machine.name)
 
     def _still_wanted(self, decision: ReturnDecision) -> bool:
         held = Fact.REASON_HOLDS if decision.holds() else Fact(0)
--- /dev/null
+++ b/src/salthead/leader/saved_pages.py
@@ -0,0 +1,139 @@
+"""What one term keeps on pages in the state service: done tasks, and the roster of machines."""
+
+from __future__ import annotations
+
+import contextlib
+from itertools import islice
+from typing import TYPE_CHECKING, Any
+
+from salthead.bookkeeping import records
+from salthead.bookkeeping.pages import Pages
+from salthead.bookkeeping.store import TROUBLES, Conflict, drop, put
+from salthead.coordination.model import UP, Job
+
+if TYPE_CHECKING:
+    from salthead.leader.term import Term
+
+# Tasks of an unfinished job are saved at most this often; their ends are kept by the worker.
+PART_GAP_S = 2.0
+BATCH_KB = 56.0  # of a transaction's 64 KiB
+
+
+class SavedPages:
+    """The loops that bring the pages in the state service in line with the ledger."""
+
+    def __init__(self, term: Term) -> None:
+        self.term = term
+        self.stretches = records.Stretches(term.limits.state.value_kb, term.kept.value_kb)
+        self.parts, self.roster = self.new_pages()
+        self.roster_at = -1e9
+        self.leftovers: dict[str, str] = {}  # keys that continue records of jobs that are over
+
+    def new_pages(self) -> tuple[Pages, Pages]:
+        """Empty pages of done tasks and of the roster."""
+        kb = self.term.kept.value_kb
+        return Pages(records.PARTS, kb), Pages(records.ROSTER, kb)
+
+    def tidy(self, job: Job) -> None:
+        """What else is kept of a job that is over goes, when there is time for it."""
+        for name in self.stretches.names(job.job_id, job.spec.task_count):
+            self.parts.drop(name)
+        self.leftovers |= {
+            records.awaits_key(job.job_id, n): job.job_id for n in range(job.spec.more)
+        }
+
+    async def save_loop(self) -> None:
+        """Done tasks of jobs that go on; outcomes do not wait for these."""
+        while True:
+            await self.term.node.rest(PART_GAP_S)
+            try:
+                await self.clear_leftovers()
+                await self.save_parts()
+            except (Conflict, *TROUBLES) as error:
+                self.term.node.note("save", error)
+                await self.term.node.rest(0.5)
+
+    async def save_parts(self) -> None:
+        """Write the done tasks of jobs that go on."""
+        covered: list[tuple[Job, list[int]]] = []
+        for job in self.term.ledger.live.values():
+            if job.over or not job.dirty:
+                continue
+            covered.append((job, list(job.dirty)))
+            self.term.job_records.set_parts(job, job.dirty)
+        while self.parts.dirty:
+            await self.write_pages(self.parts)
+        for job, done in covered:
+            self.term.ledger.saved(job, done)
+
+    async def clear_leftovers(self) -> None:
+        """Drop what continued the records of jobs that are over."""
+        while self.leftovers:
+            keys = list(islice(self.leftovers, self.term.kept.txn_ops))
+            # On condition that there is no such job: it may have been accepted since the list was
+            # read, or its record may have come late.
+            with contextlib.suppress(Conflict):
+                await self.term.txn(
+                    {records.job_key(self.leftovers[key]): 0 for key in keys},
+                    [drop(key) for key in keys],
+                    bulk=True,
+                )
+            for key in keys:
+                del self.leftovers[key]
+
+    async def write_pages(self, pages: Pages) -> dict[int, tuple[int, dict[str, Any]]]:
+        """One transaction of what the service lacks of these pages."""
+        batch = pages.batch(self.term.kept.txn_ops, BATCH_KB)
+        if batch:
+            try:
+                epoch = await self.term.txn(
+                    {pages.key(page): pages.stamps.get(page, 0) for page in batch},
+                    [
+                        put(pages.key(page), content) if content else drop(pages.key(page))
+                        for page, (_, content) in batch.items()
+                    ],
+                    bulk=True,
+                )
+            except Conflict:
+                # An earlier try took effect after all; what it wrote is replaced.
+                for page in batch:
+                    row = await self.term.store.get(pages.key(page))
+                    pages.stamps[page] = row[1] if row is not None else 0
+                raise
+            pages.written(batch, epoch)
+        return batch
+
+    async def roster_loop(self) -> None:
+        """A machine is in the roster, durably, before the first start is sent to it."""
+        while True:
+            ledger = self.term.ledger
+            for machine in ledger.unrostered:
+                if machine.phase == UP or machine.seen:
+                    self.roster.set(
+                        machine.name,
+                        [
+                            ledger.type_names[machine.machine_type],
+                            ledger.zones[machine.zone],
+                            machine.spot,
+                            machine.endpoint,
+                        ],
+                    )
+            # Those that are gone wait for the next one to come, or for a while.
+            fresh = any(
+                self.roster.where.get(machine.name) in self.roster.dirty
+                for machine in ledger.unrostered
+            )
+            if fresh or (self.roster.dirty and self.term.now() >= self.roster_at):
+                try:
+                    batch = await self.write_pages(self.roster)
+                    self.roster_at = self.term.now() + PART_GAP_S
+                    for _, content in batch.values():
+                        for name in content:
+                            found = ledger.machines.get(name)
+                            if found is not None and not found.rostered:
+                                ledger.set_rostered(found)
+                                found.freed = True
+                    self.term.wake()
+                except (Conflict, *TROUBLES) as error:
+                    self.term.node.note("roster", error)
+            await self.term.node.rest(0.1)
--- a/src/salthead/leader/term.py
+++ b/src/salthead/leader/term.py
@@ -7,29 +7,27 @@
 import logging
 import time
 from collections.abc import Coroutine
-from itertools import islice
 from typing import TYPE_CHECKING, Any
 
 from salthead.bookkeeping import records
-from salthead.bookkeeping.pages import Pages
 from salthead.bookkeeping.store import (
     TROUBLES,
     Compacted,
     Conflict,
     Refused,
-    drop,
     put,
 )
 from salthead.coordination import gangs, placement, preemption, strays
 from salthead.coordination.lease import LeaseClock
 from salthead.coordination.ledger import Ledger
-from salthead.coordination.model import UP, Job, Machine
+from salthead.coordination.model import Machine
 from salthead.coordination.zone_leases import counted_until
 from salthead.evidence.gate import Action, Fact, lacking
 from salthead.leader.job_records import JobRecords
 from salthead.leader.lead import Lead
 from salthead.leader.outcomes import Outcomes
 from salthead.leader.rental import REST_FACTOR, Rental
+from salthead.leader.saved_pages import SavedPages
 from salthead.leader.views import Views
 from salthead.leader.worker_calls import WorkerCalls
 from salthead.protocol import names
@@ -49,9 +47,6 @@
 # A look at each machine, for what no report brings: a fifth of the processor time of a leader of
 # 570 machines went into doing that with each pass.
 LOOK_GAP_S = 0.5
-# Tasks of an unfinished job are saved at most this often; their ends are kept by the worker.
-PART_GAP_S = 2.0
-BATCH_KB = 56.0  # of a transaction's 64 KiB
 # Placement itself looks only at tasks that no machine can be running (``Ledger.may_place``).
 TASK_NOWHERE = int(Fact.TASK_NOWHERE)
 
@@ -75,7 +70,6 @@
         self.store = node.store
         self.limits = node.limits
         self.kept = node.kept
-        self.stretches = records.Stretches(node.limits.state.value_kb, node.kept.value_kb)
         self.now = node.now
         self.token = token
         self.stamp = stamp
@@ -90,11 +84,9 @@
         self.ledger.on_room = self.offer
         self.ledger.set_machine_types(node.machine_types.values())
         self.changed = asyncio.Event()
-        self.parts, self.roster = self.new_pages()
-        self.roster_at = -1e9
+        self.pages = SavedPages(self)
         self.background: set[asyncio.Task[None]] = set()
         self.starved: set[str] = set()  # jobs that found no machine at the last pass
-        self.leftovers: dict[str, str] = {}  # keys that continue records of jobs that are over
         self.job_records = JobRecords(self)
         self.rental = Rental(self)
         self.lead = Lead(self)
@@ -121,11 +113,6 @@
 
         return LinkLoop(self, policy, self.node.policy.networks)
 
-    def new_pages(self) -> tuple[Pages, Pages]:
-        """Empty pages of done tasks and of the roster."""
-        kb = self.kept.value_kb
-        return Pages(records.PARTS, kb), Pages(records.ROSTER, kb)
-
     def valid(self) -> bool:
         """Whether this term may act now."""
         return self.clock.valid(self.now())
@@ -180,8 +167,8 @@
             self.job_records.await_loop(),
             self.decide_loop(),
             self.outcomes.loop(),
-            self.save_loop(),
-            self.roster_loop(),
+            self.pages.save_loop(),
+            self.pages.roster_loop(),
             self.rental.list_loop(),
             self.rental.fleet_loop(),
             self.unknown_jobs_loop(),
@@ -309,14 +296,6 @@
 
     # -- outcomes -----------------------------------------------------------------------
 
-    def tidy(self, job: Job) -> None:
-        """What else is kept of a job that is over goes, when there is time for it."""
-        for name in self.stretches.names(job.job_id, job.spec.task_count):
-            self.parts.drop(name)
-        self.leftovers |= {
-            records.awaits_key(job.job_id, n): job.job_id for n in range(job.spec.more)
-        }
-
     async def cancel(self, job_id: str) -> dict[str, Any] | None:
         """Cancel a job; what its user is told, or None if there is no such job."""
         job = self.ledger.jobs.get(job_id) if self.ledger.loaded else None
@@ -341,104 +320,8 @@
             raise Unanswered("cancel in doubt")
         return {"uid": job_id, "phase": job.over or names.ABORTED}
 
-    async def save_loop(self) -> None:
-        """Done tasks of jobs that go on; outcomes do not wait for these."""
-        while True:
-            await self.node.rest(PART_GAP_S)
-            try:
-                await self.clear_leftovers()
-                await self.save_parts()
-            except (Conflict, *TROUBLES) as error:
-                self.node.note("save", error)
-                await self.node.rest(0.5)
-
-    async def save_parts(self) -> None:
-        """Write the done tasks of jobs that go on."""
-        covered: list[tuple[Job, list[int]]] = []
-        for job in self.ledger.live.values():
-            if job.over or not job.dirty:
-                continue
-            covered.append((job, list(job.dirty)))
-            self.job_records.set_parts(job, job.dirty)
-        while self.parts.dirty:
-            await self.write_pages(self.parts)
-        for job, done in covered:
-            self.ledger.saved(job, done)
-
-    async def clear_leftovers(self) -> None:
-        """Drop what continued the records of jobs that are over."""
-        while self.leftovers:
-            keys = list(islice(self.leftovers, self.kept.txn_ops))
-            # On condition that there is no such job: it may have been accepted since the list was
-            # read, or its record may have come late.
-            with contextlib.suppress(Conflict):
-                await self.txn(
-                    {records.job_key(self.leftovers[key]): 0 for key in keys},
-                    [drop(key) for key in keys],
-                    bulk=True,
-                )
-            for key in keys:
-                del self.leftovers[key]
-
-    async def write_pages(self, pages: Pages) -> dict[int, tuple[int, dict[str, Any]]]:
-        """One transaction of what the service lacks of these pages."""
-        batch = pages.batch(self.kept.txn_ops, BATCH_KB)
-        if batch:
-            try:
-                epoch = await self.txn(
-                    {pages.key(page): pages.stamps.get(page, 0) for page in batch},
-                    [
-                        put(pages.key(page), content) if content else drop(pages.key(page))
-                        for page, (_, content) in batch.items()
-                    ],
-                    bulk=True,
-                )
-            except Conflict:
-                # An earlier try took effect after all; what it wrote is replaced.
-                for page in batch:
-                    row = await self.store.get(pages.key(page))
-                    pages.stamps[page] = row[1] if row is not None else 0
-                raise
-            pages.written(batch, epoch)
-        return batch
-
     # -- machines -----------------------------------------------------------------------
 
-    async def roster_loop(self) -> None:
-        """A machine is in the roster, durably, before the first start is sent to it."""
-        while True:
-            ledger = self.ledger
-            for machine in ledger.unrostered:
-                if machine.phase == UP or machine.seen:
-                    self.roster.set(
-                        machine.name,
-                        [
-                            ledger.type_names[machine.machine_type],
-                            ledger.zones[machine.zone],
-                            machine.spot,
-                            machine.endpoint,
-                        ],
-                    )
-            # Those that are gone wait for the next one to come, or for a while.
-            fresh = any(
-                self.roster.where.get(machine.name) in self.roster.dirty
-                for machine in ledger.unrostered
-            )
-            if fresh or (self.roster.dirty and self.now() >= self.roster_at):
-                try:
-                    batch = await self.write_pages(self.roster)
-                    self.roster_at = self.now() + PART_GAP_S
-                    for _, content in batch.values():
-                        for name in content:
-                            found = ledger.machines.get(name)
-                            if found is not None and not found.rostered:
-                                ledger.set_rostered(found)
-                                found.freed = True
-                    self.wake()
-                except (Conflict, *TROUBLES) as error:
-                    self.node.note("roster", error)
-            await self.node.rest(0.1)
-
     def spawn(self, work: Coroutine[Any, Any, None]) -> None:
         """Run something beside the loops until it is done or the term ends."""
         task = asyncio.create_task(work)
--- /dev/null
+++ b/src/salthead/node/machine_types.py
@@ -0,0 +1,60 @@
+"""The machine types that a node knows: from the cloud, or as an earlier leader stored them."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from salthead.bookkeeping import records
+from salthead.bookkeeping.store import TROUBLES, Conflict, Refused
+from salthead.protocol import names
+from salthead.protocol.messages import MachineType, MachineTypes, shape
+
+if TYPE_CHECKING:
+    from salthead.node.node import Node
+
+AGAIN_S, RETRY_S = 60.0, 2.0  # between readings that succeeded, and after one that did not
+
+
+class MachineTypesLoop:
+    """Reads machine types until there are some, and again now and then."""
+
+    def __init__(self, node: Node) -> None:
+        self.node = node
+
+    async def loop(self) -> None:
+        """Until the process ends."""
+        while True:
+            try:
+                self.take(await self._from_cloud())
+                await self.node.rest(AGAIN_S)
+                continue
+            except (Conflict, *TROUBLES) as error:
+                self.node.note("cloud flavors", error)
+            if not self.node.machine_types:
+                try:
+                    if found := await self._as_stored():
+                        self.take(found)
+                except (Conflict, *TROUBLES) as error:
+                    self.node.note("stored flavors", error)
+            await self.node.rest(RETRY_S)
+
+    async def _from_cloud(self) -> list[MachineType]:
+        answer = await self.node.cloud.call("GET", names.FLAVORS, timeout=3.0)
+        if answer.status != 200:
+            raise Refused(answer.status, "flavors")
+        return shape(answer.body, MachineTypes).machine_types
+
+    async def _as_stored(self) -> list[MachineType]:
+        rows, _ = await self.node.store.rows(records.MORE_FLAVORS)
+        found = records.machine_types_from({key: row[0] for key, row in rows.items()})
+        if found is None:
+            row = await self.node.store.get(records.FLAVORS)
+            found = None if row is None else row[0]
+        return [] if found is None else shape(found, MachineTypes).machine_types
+
+    def take(self, machine_types: list[MachineType]) -> None:
+        """Take machine types in, for checks and for the term."""
+        self.node.machine_types = {found.name: found for found in machine_types}
+        if self.node.term is not None:
+            self.node.term.ledger.set_machine_types(machine_types)
+            self.node.term.wake()
--- a/src/salthead/node/node.py
+++ b/src/salthead/node/node.py
@@ -14,31 +14,26 @@
 from salthead import metrics
 from salthead.bookkeeping import records
 from salthead.bookkeeping.store import (
-    TROUBLES,
-    Conflict,
     Refused,
     Store,
-    drop,
-    put,
 )
 from salthead.coordination import lease
-from salthead.coordination.zone_leases import ZoneLease
 from salthead.errors import Later
 from salthead.evidence.gate import Action, Fact, permits
-from salthead.leader.peer_calls import ask_reach
 from salthead.leader.term import Term
 from salthead.node.election import Election
 from salthead.node.job_lookups import JobLookups
+from salthead.node.machine_types import MachineTypesLoop
+from salthead.node.reach import Reach
 from salthead.node.sockets import Sockets
 from salthead.node.submissions import Submissions
+from salthead.node.zone_keeper import ZoneKeeper
 from salthead.policy import NO_POLICY, Policy
 from salthead.protocol import names
 from salthead.protocol.messages import (
     MachineType,
-    MachineTypes,
     Report,
     Submission,
-    shape,
     status_body,
 )
 from salthead.settings import Settings
@@ -46,11 +41,7 @@
 
 log = logging.getLogger("salthead.node")
 
-# A worker whose leader hangs tries the next node after its time-out of 4 s and 1 s more.
-REDIRECT_WINDOW_S = 6.0
 LAG_EVERY_S, LAG_MOST_S = 0.25, 0.5
-# The load balancer's probes are about this far apart.
-REACH_S = 1.0
 FINALS_KEPT = 20_000
 AWAITS_TOLD = 20
 NOTHING_IN_DOUBT = int(Fact.NOTHING_IN_DOUBT)
@@ -85,7 +76,8 @@
         self.machine_types: dict[str, MachineType] = {}
         self.leader: str | None = None  # the member that leads, as last read
         self.leader_token = 0
-        self.zone_lease = ZoneLease(lease.leader_ttl(self.limits.workers.lease_s))
+        self.zone_keeper = ZoneKeeper(self)
+        self.reach = Reach(self)
         self.submissions = Submissions(self)
         self.lookups = JobLookups(self)
         self.term: Term | None = None
@@ -99,10 +91,6 @@
         self.trouble: dict[str, float] = {}
         self.lag = 0.0
         self.submitting = 0
-        self.reached = now()  # when another node last answered
-        self.others_served = -1e9  # when another node last said that the state service serves it
-        # Workers that this node sent to the leader, and when; who came last stands last.
-        self.redirected: OrderedDict[str, float] = OrderedDict()
 
     # -- small helpers ------------------------------------------------------------------
 
@@ -142,10 +130,10 @@
         """All loops of the node, until it is killed."""
         async with asyncio.TaskGroup() as group:
             group.create_task(Election(self).loop())
-            group.create_task(self.machine_types_loop())
+            group.create_task(MachineTypesLoop(self).loop())
             group.create_task(self.lag_loop())
-            group.create_task(self.reach_loop())
-            group.create_task(self.keep_loop())
+            group.create_task(self.reach.loop())
+            group.create_task(self.zone_keeper.loop())
 
     async def lag_loop(self) -> None:
         """How late this process's own timers are: the sign that it is asked too much."""
@@ -154,102 +142,15 @@
             await asyncio.sleep(LAG_EVERY_S)
             self.lag = self.now() - due
 
-    async def reach_loop(self) -> None:
-        """Whether this node reaches the state service or any other node, and they the service."""
-        while True:
-            await self.rest(REACH_S)
-            if self.store.answered >= self.now() - REACH_S:
-                continue
-            try:
-                await self.store.get(records.LEAD, timeout=REACH_S, urgent=True)
-            except (Refused, Unanswered):
-                await asyncio.gather(
-                    *(self.reach(peer) for peer in self.peers.values()), return_exceptions=True
-                )
-
-    async def reach(self, peer: Caller) -> None:
-        """Ask a peer whether it is there, and whether the state service serves it."""
-        found = await ask_reach(peer)
-        if found is None:
-            return
-        self.reached = self.now()
-        if found.state_service_s is not None and found.state_service_s < 2.0 * REACH_S:
-            self.others_served = self.now()
-
     def knocks_body(self) -> dict[str, Any]:
         """What a peer is told of this node's reach."""
-        return {"knocks": self.redirected_count(), "served_s": self.now() - self.store.answered}
-
-    def refused_alone(self) -> bool:
-        """Whether the state service serves others, but not this node: it can take no job."""
-        now = self.now()
-        return (
-            now - self.store.answered > 2.0 * REACH_S and now - self.others_served < 4.0 * REACH_S
-        )
-
-    async def keep_loop(self) -> None:
-        """Behind a cut from the leader, with the state service in reach: keep workers' leases."""
-        ttl = self.zone_lease.ttl
-        key, answer = records.KEEP + self.settings.member, records.KEPT + self.settings.member
-        written = True  # an earlier process of this member may have left its wish behind
-        missed = 0
-        while True:
-            await self.rest(ttl / 8.0)
-            peer = self.peers.get(self.leader or "")
-            if self.term is not None or peer is None:
-                missed = 0
-            else:
-                try:
-                    await peer.call("POST", names.PEER_REDIRECTED, timeout=ttl / 8.0)
-                    missed = 0
-                except Unanswered:
-                    missed += 1
-            try:
-                if missed >= 2:
-                    wish = self.zone_lease.ask(
-                        self.leader_token, uuid.uuid4().hex[:12], self.settings.area, self.now()
-                    )
-                    written = True
-                    await self.store.txn({}, [put(key, wish)], urgent=True)
-                    for _ in range(4):
-                        await self.rest(ttl / 24.0)
-                        row = await self.store.get(answer, urgent=True)
-                        if row is not None and self.zone_lease.allowed(row[0]):
-                            break
-                elif written:
-                    self.zone_lease.stop()
-                    row = await self.store.get(key, urgent=True)
-                    if row is not None:
-                        # On condition of its stamp: carried out late, it must not take away a
-                        # later wish, by which the next leader knows of what was allowed.
-                        await self.store.txn({key: row[1]}, [drop(key)], urgent=True)
-                    written = False
-            except (Conflict, *TROUBLES) as error:
-                self.note("keep", error)
-
-    def keeps(self, report: Report) -> bool:
-        """Whether to answer a worker in the name of a leader that it can't reach."""
-        now = self.now()
-        back = self.zone_lease.came_back(report.worker, now)
-        return (
-            self.leader not in (None, self.settings.member)
-            and self.zone_lease.valid(self.leader_token, now)
-            and report.zone == self.settings.area
-            and report.fencing_token <= self.leader_token
-            # A worker may be here by chance. A second one, or one that was sent on before and is
-            # here again, can't reach it, and their leases may not last for another round.
-            and (back or self.redirected_count() > 0)
-        )
-
-    def cut_off(self) -> bool:
-        """Whether this node lost the state service and all others, though workers and users may
-        reach it: what it knows of the lead is old, and it can decide nothing."""
-        patience = 2.0 * lease.leader_ttl(self.limits.workers.lease_s)
-        return self.now() - max(self.store.answered, self.reached) > patience
+        return self.reach.as_told()
 
     def up(self) -> bool:
         """Whether the load balancer may send users here."""
-        return bool(self.machine_types) and not self.cut_off() and not self.refused_alone()
+        return (
+            bool(self.machine_types) and not self.reach.cut_off() and not self.reach.refused_alone()
+        )
 
     def overloaded(self) -> bool:
         """Whether submissions are shed, so that reports and decisions keep their turn.
@@ -259,37 +160,6 @@
         """
         return self.lag > LAG_MOST_S or self.submitting >= max(4.0, self.kept.write_rps)
 
-    async def machine_types_loop(self) -> None:
-        """Machine types: from the cloud, or as an earlier leader stored them."""
-        while True:
-            try:
-                answer = await self.cloud.call("GET", names.FLAVORS, timeout=3.0)
-                if answer.status != 200:
-                    raise Refused(answer.status, "flavors")
-                self.take_machine_types(shape(answer.body, MachineTypes).machine_types)
-                await self.rest(60.0)
-                continue
-            except (Conflict, *TROUBLES) as error:
-                self.note("cloud flavors", error)
-            if not self.machine_types:
-                try:
-                    rows, _ = await self.store.rows(records.MORE_FLAVORS)
-                    found = records.machine_types_from({key: row[0] for key, row in rows.items()})
-                    if found is None and (row := await self.store.get(records.FLAVORS)) is not None:
-                        found = row[0]
-                    if found is not None:
-                        self.take_machine_types(shape(found, MachineTypes).machine_types)
-                except (Conflict, *TROUBLES) as error:
-                    self.note("stored flavors", error)
-            await self.rest(2.0)
-
-    def take_machine_types(self, machine_types: list[MachineType]) -> None:
-        """Take machine types in, for checks and for the term."""
-        self.machine_types = {machine_type.name: machine_type for machine_type in machine_types}
-        if self.term is not None:
-            self.term.ledger.set_machine_types(machine_types)
-            self.term.wake()
-
     async def promise(self, member: str) -> bool:
         """Promise a leader that lost the state service not to stand for a while.
 
@@ -324,32 +194,17 @@
 
     def redirect(self, who: str) -> tuple[int, dict[str, Any]]:
         """The answer to a report of a node that may not act on it."""
-        self.note_redirected(who)
-        if self.leader not in (None, self.settings.member) and not self.cut_off():
+        self.reach.note_redirected(who)
+        if self.leader not in (None, self.settings.member) and not self.reach.cut_off():
             return 421, {"herder": self.leader}
         return 503, {"error": "no leader"}
 
-    def note_redirected(self, who: str) -> None:
-        """A worker came here although another node leads."""
-        self.redirected[who] = self.now()
-        self.redirected.move_to_end(who)
-
-    def redirected_count(self) -> int:
-        """How many workers came here lately although another node leads.
-
-        Asked at reports, so it looks only at those that have left since it was asked last.
-        """
-        since = self.now() - REDIRECT_WINDOW_S
-        while self.redirected and next(iter(self.redirected.values())) < since:
-            self.redirected.popitem(last=False)
-        return len(self.redirected)
-
     def on_report(self, report: Report, who: str = "") -> tuple[int, dict[str, Any]]:
         """Status and body for a worker's report."""
         term = self.leading()
         if term is None:
-            if self.keeps(report):
-                self.note_redirected(who or report.worker)
+            if self.zone_keeper.keeps(report):
+                self.reach.note_redirected(who or report.worker)
                 return 200, {"baton": self.leader_token, "orders": []}
             return self.redirect(who or report.worker)
         orders = term.on_report(report)
--- a/src/salthead/node/submissions.py
+++ b/src/salthead/node/submissions.py
@@ -135,7 +135,7 @@
     async def _forward(self, job: Submission) -> tuple[int, dict[str, Any]]:
         """Let another node accept a job that this one can't write: the service may refuse this
         node alone. A job has one id, so that two nodes may try to accept it."""
-        for peer in self.node.peers.values() if self.node.refused_alone() else ():
+        for peer in self.node.peers.values() if self.node.reach.refused_alone() else ():
             try:
                 answer = await peer.call(
                     "POST", names.PEER_SUBMIT, msgspec.to_builtins(job), timeout=0.8
--- /dev/null
+++ b/src/salthead/node/zone_keeper.py
@@ -0,0 +1,94 @@
+"""Keeping the leases of a zone's workers for a leader that they can't reach."""
+
+from __future__ import annotations
+
+import uuid
+from typing import TYPE_CHECKING
+
+from salthead.bookkeeping import records
+from salthead.bookkeeping.store import TROUBLES, Conflict, drop, put
+from salthead.coordination import lease
+from salthead.coordination.zone_leases import ZoneLease
+from salthead.protocol import names
+from salthead.protocol.messages import Report
+from salthead.transport.client import Unanswered
+
+if TYPE_CHECKING:
+    from salthead.node.node import Node
+
+MISSED_MOST = 2  # calls to the leader in a row without an answer, before the zone is kept
+
+
+class ZoneKeeper:
+    """One node's side of that: what it asks the leader for, and what it then answers."""
+
+    def __init__(self, node: Node) -> None:
+        self.node = node
+        self.lease = ZoneLease(lease.leader_ttl(node.limits.workers.lease_s))
+
+    async def loop(self) -> None:
+        """Behind a cut from the leader, with the state service in reach: keep workers' leases."""
+        written = True  # an earlier process of this member may have left its question behind
+        missed = 0
+        while True:
+            await self.node.rest(self.lease.ttl / 8.0)
+            missed = 0 if await self._reaches_leader() else missed + 1
+            try:
+                if missed >= MISSED_MOST:
+                    written = True
+                    await self._ask()
+                elif written:
+                    self.lease.stop()
+                    await self._withdraw()
+                    written = False
+            except (Conflict, *TROUBLES) as error:
+                self.node.note("keep", error)
+
+    async def _reaches_leader(self) -> bool:
+        """Whether the leader answers; also where there is none, or this node leads."""
+        peer = self.node.peers.get(self.node.leader or "")
+        if self.node.term is not None or peer is None:
+            return True
+        try:
+            await peer.call("POST", names.PEER_REDIRECTED, timeout=self.lease.ttl / 8.0)
+        except Unanswered:
+            return False
+        return True
+
+    async def _ask(self) -> None:
+        """Ask the leader through the state service, and wait a little for its permission."""
+        member = self.node.settings.member
+        question = self.lease.ask(
+            self.node.leader_token,
+            uuid.uuid4().hex[:12],
+            self.node.settings.area,
+            self.node.now(),
+        )
+        await self.node.store.txn({}, [put(records.KEEP + member, question)], urgent=True)
+        for _ in range(4):
+            await self.node.rest(self.lease.ttl / 24.0)
+            row = await self.node.store.get(records.KEPT + member, urgent=True)
+            if row is not None and self.lease.allowed(row[0]):
+                return
+
+    async def _withdraw(self) -> None:
+        key = records.KEEP + self.node.settings.member
+        row = await self.node.store.get(key, urgent=True)
+        if row is not None:
+            # On condition of its stamp: carried out late, it must not take away a later question,
+            # by which the next leader knows of what was allowed.
+            await self.node.store.txn({key: row[1]}, [drop(key)], urgent=True)
+
+    def keeps(self, report: Report) -> bool:
+        """Whether to answer a worker in the name of a leader that it can't reach."""
+        now = self.node.now()
+        back = self.lease.came_back(report.worker, now)
+        return (
+            self.node.leader not in (None, self.node.settings.member)
+            and self.lease.valid(self.node.leader_token, now)
+            and report.zone == self.node.settings.area
+            and report.fencing_token <= self.node.leader_token
+            # A worker may be here by chance. A second one, or one that was sent on before and is
+            # here again, can't reach it, and their leases may not last for another round.
+            and (back or self.node.reach.redirected_count() > 0)
+        )
--- a/tests/test_large_fleet.py
+++ b/tests/test_large_fleet.py
@@ -182,10 +182,10 @@
     node.leader = "n0"
     for n in range(LARGE):
         node.redirect(f"m{n}")
-    assert node.redirected_count() == LARGE
-    assert calls(node.redirected_count) < 10
+    assert node.reach.redirected_count() == LARGE
+    assert calls(node.reach.redirected_count) < 10
     node.now = lambda: 60.0
-    assert node.redirected_count() == 0
+    assert node.reach.redirected_count() == 0
 
 
 def test_a_node_behind_a_cut_does_not_walk_over_all_workers_at_each_report() -> None:
--- a/tests/test_long_day.py
+++ b/tests/test_long_day.py
@@ -23,7 +23,12 @@
 
 def table_sizes(node: Any) -> dict[str, int]:
     """How much is in each table of a node, its term, and what the term is made of."""
-    parts = {"node": node, "zone lease": node.zone_lease, "store": node.store}
+    parts = {
+        "node": node,
+        "zone lease": node.zone_keeper.lease,
+        "reach": node.reach,
+        "store": node.store,
+    }
     if node.term is not None:
         term = node.term
         parts |= {
@@ -35,8 +40,10 @@
             "job records": term.job_records,
             "rental": term.rental,
             "views": term.views,
-            "done pages": term.parts,
-            "roster": term.roster,
+            "done pages": term.pages.parts,
+            "roster": term.pages.roster,
+            "pages": term.pages,
+            "withheld": term.ledger.withheld,
         }
     return {
         f"{part}.{name}": len(value)
