--- a/src/salthead/coordination/fleet.py
+++ b/src/salthead/coordination/fleet.py
@@ -105,11 +105,11 @@
     # One array that comes, or a fleet that begins to boot, has a long line, too: what is hired for
     # that comes too late, and what is then too much was given back too deep.
     if work <= boot_s * rate or booting > LINE_BOOTING * rate:
-        ledger.long_line_since = None
+        ledger.line.long_since = None
         return max(LEAST_CHARGE_S, boot_s)
-    if ledger.long_line_since is None:
-        ledger.long_line_since = now
-    lasts = now - ledger.long_line_since >= LINE_BOOTS * boot_s
+    if ledger.line.long_since is None:
+        ledger.line.long_since = now
+    lasts = now - ledger.line.long_since >= LINE_BOOTS * boot_s
     return boot_s if lasts else max(LEAST_CHARGE_S, boot_s)
 
 
@@ -128,26 +128,7 @@
     slots: list[Slot] = []
     new: list[Slot] = []
     if ledger.ready:
-        left: dict[int, list[float]] = {
-            team: [most[n] - ledger.usage[team][n] for n in range(2)]
-            for team, most in enumerate(ledger.caps)
-        }
-        within = placement.entitled(ledger)
-        line = placement.queue(ledger, within, now)
-        span = serving_span_s(ledger, line, now)
-        soon = soon_ready(ledger, now)
-        if line or soon:  # with nothing to place, free room need not be known
-            there = supply(ledger, now, coming)
-            slots = there.slots
-            # A place that is still taken serves the line for what is left of the span. Counted as
-            # free at once, a fleet of short tasks looked large enough for too long a line.
-            span = max(1.0, span - there.mean_wait_s())
-        pool = Pool(slots, min((job.need[0] for job in [*line, *soon]), default=0.0))
-        for job in line:
-            _provide(ledger, job, job.waiting(), pool, new, left[job.team], span, refusals, now)
-        for job in soon:
-            count = job.spec.task_count
-            _provide(ledger, job, count, pool, new, left[job.team], span, refusals, now)
+        slots, new = _provide_for_line(ledger, now, refusals, coming)
     counts: dict[Kind, int] = defaultdict(int)
     for slot in new:
         counts[slot.kind] += 1
@@ -165,6 +146,34 @@
     return result
 
 
+def _provide_for_line(
+    ledger: Ledger, now: float, refusals: Refusals, coming: dict[Kind, int]
+) -> tuple[list[Slot], list[Slot]]:
+    """What there is, filled with those in line, and the machines that they lack."""
+    slots: list[Slot] = []
+    new: list[Slot] = []
+    left: dict[int, list[float]] = {
+        team: [most[n] - ledger.usage[team][n] for n in range(2)]
+        for team, most in enumerate(ledger.caps)
+    }
+    line = placement.queue(ledger, placement.entitled(ledger), now)
+    span = serving_span_s(ledger, line, now)
+    soon = soon_ready(ledger, now)
+    if line or soon:  # with nothing to place, free room need not be known
+        there = supply(ledger, now, coming)
+        slots = there.slots
+        # A place that is still taken serves the line for what is left of the span. Counted as
+        # free at once, a fleet of short tasks looked large enough for too long a line.
+        span = max(1.0, span - there.mean_wait_s())
+    pool = Pool(slots, min((job.need[0] for job in [*line, *soon]), default=0.0))
+    for job in line:
+        _provide(ledger, job, job.waiting(), pool, new, left[job.team], span, refusals, now)
+    for job in soon:
+        count = job.spec.task_count
+        _provide(ledger, job, count, pool, new, left[job.team], span, refusals, now)
+    return slots, new
+
+
 def soon_ready(ledger: Ledger, now: float) -> list[Job]:
     """Jobs that will wait for nothing more by the time that a new machine could be up."""
     boot_s = least_boot_s(ledger)
--- a/src/salthead/coordination/gangs.py
+++ b/src/salthead/coordination/gangs.py
@@ -60,7 +60,7 @@
         for machine in _machines_for(ledger, job, now):
             if machine.held_for != job.job_id:
                 log.info("machine %s is kept for gang %s", machine.name, job.job_id)
-            ledger.keep(machine, job.job_id, until)
+            ledger.room.keep(machine, job.job_id, until)
 
 
 def _machines_for(ledger: Ledger, job: Job, now: float) -> list[Machine]:
--- a/src/salthead/coordination/ledger.py
+++ b/src/salthead/coordination/ledger.py
@@ -12,11 +12,13 @@
 import logging
 import math
 from collections.abc import Callable, Iterable
+from dataclasses import dataclass, field
 from typing import TYPE_CHECKING, Any
 
 from salthead.coordination import reports, strays, waiting
 from salthead.coordination.estimates import Arrivals, Estimates, Promptness
 from salthead.coordination.lease import blind_s, surely_over
+from salthead.coordination.machine_room import MachineRoom
 from salthead.coordination.model import (
     BOOTING,
     EPS,
@@ -61,6 +63,27 @@
 KEPT_FLEETS = 2  # how many times the largest fleet of this term is remembered
 
 
+@dataclass
+class Line:
+    """Jobs with tasks that wait, in the order of the last pass: who is offered freed room."""
+
+    jobs: list[Job] = field(default_factory=list)
+    least_cpus: float = 0.0  # of the smallest task in line
+    choosy: bool = False  # whether a job was in line that fits on scarce types alone
+    long_since: float | None = None  # since when the fleet can't keep up with it
+
+
+@dataclass
+class LedgerEvents:
+    """What the ledger tells whoever acts on it."""
+
+    changed: Callable[[], None] = lambda: None
+    completed: Callable[[Job], None] = lambda job: None  # all tasks of the job are done
+    aborts_pending: Callable[[], None] = lambda: None
+    # Placement, called between what a report says and the starts that its answer carries.
+    room_freed: Callable[[Machine, float], None] = lambda machine, now: None
+
+
 class Ledger:
     """What one leader knows and has decided, for one term."""
 
@@ -93,21 +116,14 @@
         self.machine_types: dict[int, MachineType] = {}
         self.caps = [(team.cpus_max, team.gpus_max) for team in limits.teams]
         self.guarantees = [(team.cpus, team.gpus) for team in limits.teams]
-        # Machines that are up, by kind and by how many whole CPUs they have free. A pass looks
-        # at the rows with room alone, so that its cost does not grow with a full fleet.
-        self.free: dict[Kind, list[dict[Machine, None]]] = {}
-        self.kept: dict[Machine, None] = {}  # machines that are, or lately were, kept for a job
+        self.room = MachineRoom()
         # Types that are the only ones for some class of jobs, as seen in this term.
         self.scarce: set[int] = set()
-        self.choosy_wait = False  # whether such a job was in line at the last pass
         self.stops: list[Binding] = []  # wanted since they were last sent directly
         self.ranks = [0] * len(names.URGENCIES)  # tasks bound, by urgency
         self._silent: tuple[float, float] | None = None
         self._silent_kinds: dict[Kind, Vec] = {}
-        # Jobs with tasks that wait, in the order of the last pass: who is offered freed room.
-        self.line: list[Job] = []
-        self.line_least = 0.0  # CPUs of the smallest task in line
-        self.long_line_since: float | None = None  # since when the fleet can't keep up with it
+        self.line = Line()
         self.usage = [[0.0, 0.0] for _ in limits.teams]
         self.rest_until = [0.0 for _ in limits.teams]  # until then no quota is kept for gangs
         self.jobs: dict[str, Job] = {}
@@ -131,11 +147,7 @@
         self.pending_aborts: dict[
             str, None
         ] = {}  # jobs whose outcome follows, and is to be written
-        self.on_change: Callable[[], None] = lambda: None
-        self.on_complete: Callable[[Job], None] = lambda job: None  # all of its tasks are done
-        self.on_pending_aborts: Callable[[], None] = lambda: None
-        # Placement, called between what a report says and the starts that its answer carries.
-        self.on_room: Callable[[Machine, float], None] = lambda machine, now: None
+        self.events = LedgerEvents()
         self.recently_gone: dict[str, float] = {}
         self.zone_hooks: ZoneHooks | None = None  # where the policy enables them
         self.shared_silence: SharedSilence | None = None  # where the policy enables it
@@ -171,7 +183,7 @@
             for machine in self.machines.values():
                 if machine.machine_type == index:
                     machine.cap = cap
-                    self.reindex(machine)
+                    self.room.reindex(machine)
 
     def capacity(self, type_index: int) -> Vec:
         """CPUs, GPUs and memory of a machine of this type; nothing while the type is unknown."""
@@ -215,7 +227,7 @@
             self.scarce |= fitting
         job.choosy = fitting <= self.scarce
         waiting.join(self, job)
-        self.on_change()
+        self.events.changed()
         return job
 
     def fitting(self, job: Job) -> set[int]:
@@ -235,7 +247,7 @@
                 job.n_done += 1
                 job.saved.add(index)
         if job.complete:
-            self.on_complete(job)
+            self.events.completed(job)
 
     def mark_done(self, job: Job, index: int) -> None:
         """A report says that a task is done."""
@@ -247,8 +259,8 @@
                 job.n_done += 1
                 job.dirty.add(one)
         if job.complete:
-            self.on_complete(job)
-        self.on_change()
+            self.events.completed(job)
+        self.events.changed()
 
     def saved(self, job: Job, indices: Iterable[int]) -> None:
         """These done tasks are known to the state service."""
@@ -265,10 +277,10 @@
         if job.cancel_requested:
             return
         job.cancel_requested = True
-        self.unkeep(job.job_id)
+        self.room.unkeep(job.job_id)
         for binding in list(job.bindings.values()):
             self.want_stop(binding, 0.0)
-        self.on_change()
+        self.events.changed()
 
     def end_job(self, job: Job, phase: str, now: float) -> None:
         """The outcome is durable: stop what is left and forget the job once it is gone."""
@@ -279,7 +291,7 @@
             if phase == names.ABORTED:
                 self.want_stop(binding, 0.0)
         self._forget(job)
-        self.on_change()
+        self.events.changed()
 
     def _forget(self, job: Job) -> None:
         if job.over and not job.bindings and self.jobs.get(job.job_id) is job:
@@ -300,67 +312,21 @@
             used[n] += sign * need[n]
         if not machine.busy():
             machine.used = [0.0, 0.0, 0.0]
-        self.reindex(machine)
+        self.room.reindex(machine)
         if team >= 0:
             usage = self.usage[team]
             usage[0] = max(0.0, usage[0] + sign * need[0])
             usage[1] = max(0.0, usage[1] + sign * need[1])
 
-    def reindex(self, machine: Machine) -> None:
-        """Note how much is free on the machine now."""
-        whole = -1
-        if machine.phase == UP:
-            whole = max(0, int(machine.cap[0] - machine.used[0] + EPS))
-        if whole == machine.whole:
-            return
-        rows = self.free.setdefault(machine.kind, [])
-        if machine.whole >= 0:
-            del rows[machine.whole][machine]
-        if whole >= 0:
-            while len(rows) <= whole:
-                rows.append({})
-            rows[whole][machine] = None
-        machine.whole = whole
-
     def set_phase(self, machine: Machine, phase: str) -> None:
         """Change a machine's phase, and what is indexed by it."""
         machine.phase = phase
-        self.reindex(machine)
+        self.room.reindex(machine)
         if self.zone_hooks is not None:
             self.zone_hooks.phase_changed(machine)
         if self.shared_silence is not None:
             self.shared_silence.phase_changed(machine)
 
-    def with_room(self, kinds: Iterable[Kind], need: Vec) -> Iterable[Machine]:
-        """Machines of these kinds that have room, in the index's own order."""
-        for kind in kinds:
-            for row in self.free[kind][int(need[0]) :]:
-                for machine in row:
-                    if machine.fits(need):
-                        yield machine
-
-    def keep(self, machine: Machine, job_id: str, until: float) -> None:
-        """Keep a machine for a job: placement hides it from the others."""
-        machine.held_for = job_id
-        machine.held_until = max(machine.held_until, until)
-        self.kept[machine] = None
-
-    def prune_kept(self, now: float) -> None:
-        """Forget machines that were kept for a job until now."""
-        for machine in [m for m in self.kept if now >= m.held_until]:
-            machine.held_for = ""
-            del self.kept[machine]
-
-    def unkeep(self, job_id: str) -> None:
-        """Keep no machine for a job any more."""
-        for machine in [m for m in self.kept if m.held_for == job_id]:
-            machine.held_for = ""
-            del self.kept[machine]
-
-    def kept_for(self, job_id: str, now: float) -> list[Machine]:
-        """Machines that are kept for a job now."""
-        return [m for m in self.kept if m.held_for == job_id and now < m.held_until]
-
     def bind(self, job: Job, index: int, machine: Machine, attempt: int, now: float) -> Binding:
         """Bind a task to a machine, with its bookings."""
         binding = Binding(job, index, attempt, machine, job.need, job.team, since=now)
@@ -388,7 +354,7 @@
         else:
             job.give_back(binding.index)
         self._forget(job)
-        self.on_change()
+        self.events.changed()
 
     def move(self, binding: Binding, machine: Machine, now: float) -> None:
         """Bind a gang's member, of which nobody has been told, to another machine."""
@@ -486,13 +452,13 @@
         """The cloud confirmed the return: the machine and all on it are gone."""
         self.lose_tasks(machine, now, f"{machine.name} returned")
         self.set_phase(machine, GONE)
-        self.kept.pop(machine, None)
+        self.room.kept.pop(machine, None)
         self.machines.pop(machine.name, None)
         self.unrostered.pop(machine, None)
         self.recently_gone[machine.name] = now
         if len(self.recently_gone) > max(GONE_KEPT, KEPT_FLEETS * self.largest_fleet):
             self.recently_gone.pop(next(iter(self.recently_gone)))
-        self.on_change()
+        self.events.changed()
 
     def tick(self, now: float) -> None:
         """What time alone decides: leases that are surely over, and the end of a takeover."""
@@ -514,7 +480,7 @@
                     len(self.machines),
                     len(self.jobs),
                 )
-                self.on_change()
+                self.events.changed()
 
     def worker_lease_over(self, machine: Machine) -> float:
         """When the machine's worker has no tasks any more unless it is answered again."""
--- a/src/salthead/coordination/machine_health.py
+++ b/src/salthead/coordination/machine_health.py
@@ -25,7 +25,7 @@
         log.info("machine %s is unresponsive: %s", machine.name, why)
         machine.unresponsive_since = now
         machine.unresponsive_times += 1
-        ledger.on_change()
+        ledger.events.changed()
 
 
 def mark_responsive(ledger: Ledger, machine: Machine, now: float) -> None:
--- /dev/null
+++ b/src/salthead/coordination/machine_room.py
@@ -0,0 +1,63 @@
+"""Room on machines: an index of what is free, and machines that are kept for a job."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+
+from salthead.coordination.model import EPS, UP, Kind, Machine, Vec
+
+
+class MachineRoom:
+    """Free room of all machines that are up."""
+
+    def __init__(self) -> None:
+        # Machines that are up, by kind and by how many whole CPUs they have free. A pass looks
+        # at the rows with room alone, so that its cost does not grow with a full fleet.
+        self.free: dict[Kind, list[dict[Machine, None]]] = {}
+        self.kept: dict[Machine, None] = {}  # machines that are, or lately were, kept for a job
+
+    def reindex(self, machine: Machine) -> None:
+        """Note how much is free on the machine now."""
+        whole = -1
+        if machine.phase == UP:
+            whole = max(0, int(machine.cap[0] - machine.used[0] + EPS))
+        if whole == machine.whole:
+            return
+        rows = self.free.setdefault(machine.kind, [])
+        if machine.whole >= 0:
+            del rows[machine.whole][machine]
+        if whole >= 0:
+            while len(rows) <= whole:
+                rows.append({})
+            rows[whole][machine] = None
+        machine.whole = whole
+
+    def with_room(self, kinds: Iterable[Kind], need: Vec) -> Iterable[Machine]:
+        """Machines of these kinds that have room, in the index's own order."""
+        for kind in kinds:
+            for row in self.free[kind][int(need[0]) :]:
+                for machine in row:
+                    if machine.fits(need):
+                        yield machine
+
+    def keep(self, machine: Machine, job_id: str, until: float) -> None:
+        """Keep a machine for a job: placement hides it from the others."""
+        machine.held_for = job_id
+        machine.held_until = max(machine.held_until, until)
+        self.kept[machine] = None
+
+    def prune_kept(self, now: float) -> None:
+        """Forget machines that were kept for a job until now."""
+        for machine in [m for m in self.kept if now >= m.held_until]:
+            machine.held_for = ""
+            del self.kept[machine]
+
+    def unkeep(self, job_id: str) -> None:
+        """Keep no machine for a job any more."""
+        for machine in [m for m in self.kept if m.held_for == job_id]:
+            machine.held_for = ""
+            del self.kept[machine]
+
+    def kept_for(self, job_id: str, now: float) -> list[Machine]:
+        """Machines that are kept for a job now."""
+        return [m for m in self.kept if m.held_for == job_id and now < m.held_until]
--- a/src/salthead/coordination/placement.py
+++ b/src/salthead/coordination/placement.py
@@ -149,7 +149,7 @@
     left = job.spec.task_count if job.gang else 1
     if quota_left(ledger, job, heed=False) < left:
         return False
-    for machine in ledger.with_room(kinds(ledger, job), job.need):
+    for machine in ledger.room.with_room(kinds(ledger, job), job.need):
         if usable(ledger, machine, now):
             left -= int(
                 min(
@@ -181,7 +181,7 @@
         and machine.name not in job.error_machines
         and (not machine.withheld or admitted(ledger, job, now))
         and (
-            not ledger.choosy_wait
+            not ledger.line.choosy
             or job.choosy
             or machine.machine_type not in ledger.scarce
             or order.due(ledger, job, now)
@@ -259,7 +259,7 @@
     """The kinds of machines there are that suit the job."""
     return [
         kind
-        for kind in ledger.free
+        for kind in ledger.room.free
         if (job.spec.spot or not kind[2])
         and (job.allowed_types is None or kind[0] in job.allowed_types)
         and (job.zone is None or kind[1] == job.zone)
@@ -270,7 +270,7 @@
     """The filter: machines that suit the job and have room for one task, zones aside."""
     return [
         machine
-        for machine in ledger.with_room(kinds(ledger, job), job.need)
+        for machine in ledger.room.with_room(kinds(ledger, job), job.need)
         if usable(ledger, machine, now) and open_to(ledger, job, machine, now)
     ]
 
@@ -280,7 +280,7 @@
     return [
         machine
         for kind in kinds(ledger, job)
-        for row in ledger.free[kind]
+        for row in ledger.room.free[kind]
         for machine in row
         if usable(ledger, machine, now) and open_to(ledger, job, machine, now)
     ]
@@ -425,7 +425,7 @@
         level = logging.DEBUG if only is not None else logging.INFO
         log.log(level, "placed %d of %s, %d left", bound, job.job_id, job.waiting())
         if job.waiting() == 0:
-            ledger.unkeep(job.job_id)
+            ledger.room.unkeep(job.job_id)
             if job.reserved_at is not None:
                 ledger.rest_until[job.team] = now + (now - job.reserved_at)
                 job.reserved_at = None
@@ -451,8 +451,8 @@
         return
     if ledger.zone_hooks is not None:
         ledger.zone_hooks.claim(machine, now)
-    for job in ledger.line:
-        if machine.cap[0] - machine.used[0] + EPS < ledger.line_least:
+    for job in ledger.line.jobs:
+        if machine.cap[0] - machine.used[0] + EPS < ledger.line.least_cpus:
             return
         if (
             job.over
@@ -474,13 +474,13 @@
     starved: list[Job] = []
     if not ledger.loaded:
         return starved
-    ledger.prune_kept(now)
+    ledger.room.prune_kept(now)
     within = entitled(ledger)
-    ledger.line = queue(ledger, within, now)
-    ledger.line_least = min((job.need[0] for job in ledger.line), default=math.inf)
-    ledger.choosy_wait = any(job.choosy for job in ledger.line)
+    ledger.line.jobs = queue(ledger, within, now)
+    ledger.line.least_cpus = min((job.need[0] for job in ledger.line.jobs), default=math.inf)
+    ledger.line.choosy = any(job.choosy for job in ledger.line.jobs)
     reserved: list[Job | None] = [None for _ in ledger.caps]
-    for job in ledger.line:
+    for job in ledger.line.jobs:
         job.entitled = job.entitled or job.job_id in within
         judge(ledger, job, now)
         ahead = reserved[job.team]
--- a/src/salthead/coordination/preemption.py
+++ b/src/salthead/coordination/preemption.py
@@ -140,7 +140,7 @@
         # Until the stop is told, the task has saved, its exit is told, and the draw.
         longest = max((grace(v.job) for v in victims if v.job), default=0.0)
         until = now + longest + 4.0 * report_s
-        ledger.keep(machine, job.job_id, until)
+        ledger.room.keep(machine, job.job_id, until)
         job.room_until = max(job.room_until, until)
         for victim in victims:
             stop(ledger, victim, f"room for {job.job_id}")
@@ -162,14 +162,12 @@
     # The cheapest machine is taken first, and then only its own price is worked out anew.
     heap: list[tuple[float, int, list[tuple[float, Binding]]]] = []
     for at, machine in enumerate(base):
-        left = list(machine.room())
-        stoppable = []
-        for binding in machine.bindings.values():
-            if binding.stop is not None:  # it goes anyway
-                for n in range(3):
-                    left[n] += binding.need[n]
-            elif may_stop(ledger, job, rank, binding, within, now):
-                stoppable.append((lost_work(binding, now, restart_s), binding))
+        left = _room_when_stopped(machine)
+        stoppable = [
+            (lost_work(binding, now, restart_s), binding)
+            for binding in machine.bindings.values()
+            if binding.stop is None and may_stop(ledger, job, rank, binding, within, now)
+        ]
         stoppable.sort(key=lambda pair: pair[0], reverse=True)
         room[machine.name] = left
         options[machine.name] = stoppable
@@ -203,6 +201,15 @@
     return total, list(plan.values())
 
 
+def _room_when_stopped(machine: Machine) -> list[float]:
+    """What is free once all that was told to stop has gone."""
+    left = list(machine.room())
+    for binding in machine.bindings.values():
+        if binding.stop is not None:
+            left = [free + need for free, need in zip(left, binding.need, strict=True)]
+    return left
+
+
 def _victims(
     room: list[float],
     options: list[tuple[float, Binding]],
@@ -230,12 +237,12 @@
     for job in starved:
         if job.short:
             continue
-        kept = ledger.kept_for(job.job_id, now) if now < job.room_until else []
+        kept = ledger.room.kept_for(job.job_id, now) if now < job.room_until else []
         if any(placement.overdue(ledger, machine, now) for machine in kept):
             # Seen on loss, prairie-ledger-fleet: of the room made for a gang of 24 one machine
             # died, and the rest stood empty until it was given up. What was stopped for it goes
             # anyway, so that the same machines are chosen, and others for the silent ones.
-            ledger.unkeep(job.job_id)
+            ledger.room.unkeep(job.job_id)
         elif kept:
             continue  # room is being made already
         make_room(ledger, job, within, now)
--- a/src/salthead/coordination/reports.py
+++ b/src/salthead/coordination/reports.py
@@ -35,14 +35,11 @@
     what it does not show may still begin.
     """
     machine = ledger.machines.get(report.worker)
-    # Made after an answer of this term was accepted: a report of an earlier term, or of
-    # before the worker's first answer, may be a copy that comes late.
-    current = report.fencing_token == ledger.token
     if (
         machine is not None
         and machine.unchanged
         and not machine.freed
-        and current
+        and report.fencing_token == ledger.token
         and not direct
         and report.tasks == machine.shown
         and report.session == machine.session
@@ -67,6 +64,16 @@
         if ledger.shared_silence is not None:
             ledger.shared_silence.heard(machine)
         return []
+    return _answer(ledger, machine, report, now, direct)
+
+
+def _answer(
+    ledger: Ledger, machine: Machine | None, report: Report, now: float, direct: bool
+) -> list[dict[str, Any]] | None:
+    """Any other report: whether it may be answered, and with which orders."""
+    # Made after an answer of this term was accepted: a report of an earlier term, or of
+    # before the worker's first answer, may be a copy that comes late.
+    current = report.fencing_token == ledger.token
     if report.fencing_token > ledger.token:
         ledger.deposed_by = max(ledger.deposed_by, report.fencing_token)
     if machine is not None and not direct:
@@ -100,6 +107,13 @@
         machine.seen = True
         machine.endpoint = machine.endpoint or report.endpoint
         return []
+    return _news(ledger, machine, report, now, direct)
+
+
+def _news(
+    ledger: Ledger, machine: Machine, report: Report, now: float, direct: bool
+) -> list[dict[str, Any]]:
+    """Take a report in that is news under this term's token; the orders that follow."""
     _take_in(ledger, machine, report, now)
     if machine.unchanged and not machine.freed and report.tasks == machine.shown:
         return []  # nothing is new, and nothing is wanted
@@ -190,7 +204,7 @@
     if not machine.joined:
         machine.joined = True
         machine.freed = True
-        ledger.on_change()
+        ledger.events.changed()
     warned = None if report.warning_s is None else now + report.warning_s
     if warned is not None and machine.warn_at is None:
         log.info("machine %s will be taken in %.1f s", machine.name, report.warning_s)
@@ -212,4 +226,4 @@
     log.info("machine %s up, %.1f s after its hire", machine.name, now - machine.hired_at)
     ledger.set_phase(machine, UP)
     machine.freed = True
-    ledger.on_change()
+    ledger.events.changed()
--- a/src/salthead/coordination/strays.py
+++ b/src/salthead/coordination/strays.py
@@ -49,7 +49,7 @@
         ledger.stray_jobs[key[0]] = left
     else:
         ledger.unknown_jobs.discard(key[0])
-    ledger.on_change()
+    ledger.events.changed()
 
 
 def identify_job(ledger: Ledger, spec: Submission) -> None:
--- a/src/salthead/coordination/task_reports.py
+++ b/src/salthead/coordination/task_reports.py
@@ -48,7 +48,7 @@
     # Room that this report freed is filled by this answer, not a report period later.
     if machine.freed:
         machine.freed = False
-        ledger.on_room(machine, now)
+        ledger.events.room_freed(machine, now)
     if not direct:
         orders += _starts(ledger, machine, MAX_ORDERS - len(orders))
     return orders[:MAX_ORDERS]
@@ -71,12 +71,7 @@
         if binding is not None and binding.attempt != task.attempt:
             binding = None
         if task.phase == names.EXITED:
-            if binding is not None:
-                _exited(ledger, binding, task, now)
-            else:
-                _late_exit(ledger, job_id, index, task, now)
-            if _may_reap(ledger, job_id, index, task):
-                orders.append(reap_order(task.task_id, task.attempt))
+            orders += _take_exit(ledger, binding, job_id, index, task, now)
             continue
         if binding is None:
             binding = _adopt(ledger, machine, job_id, index, task, now)
@@ -95,6 +90,19 @@
     return orders, seen, seen_strays
 
 
+def _take_exit(
+    ledger: Ledger, binding: Binding | None, job_id: str, index: int, task: TaskReport, now: float
+) -> list[dict[str, Any]]:
+    """A task that has exited, and the order that removes it from the reports."""
+    if binding is not None:
+        _exited(ledger, binding, task, now)
+    else:
+        _late_exit(ledger, job_id, index, task, now)
+    if _may_reap(ledger, job_id, index, task):
+        return [reap_order(task.task_id, task.attempt)]
+    return []
+
+
 def _new_phase(ledger: Ledger, binding: Binding, phase: str, now: float) -> None:
     hooks = ledger.zone_hooks
     if hooks is not None and binding.phase in ("", names.FETCHING) and phase != names.FETCHING:
--- a/src/salthead/coordination/waiting.py
+++ b/src/salthead/coordination/waiting.py
@@ -70,7 +70,7 @@
         _count_from(ledger, job)
         log.info("job %s is ready", job_id)
     if job_ids:
-        ledger.on_change()
+        ledger.events.changed()
 
 
 def _cancel_dependents(ledger: Ledger, job_ids: list[str]) -> None:
@@ -84,8 +84,8 @@
             ledger.want_stop(binding, 0.0)
     if job_ids:
         log.info("%d jobs end with one that they need: %s", len(job_ids), ", ".join(job_ids[:5]))
-        ledger.on_pending_aborts()
-        ledger.on_change()
+        ledger.events.aborts_pending()
+        ledger.events.changed()
 
 
 def ended(ledger: Ledger, job: Job, phase: str, now: float) -> None:
--- a/src/salthead/leader/rental.py
+++ b/src/salthead/leader/rental.py
@@ -12,7 +12,8 @@
 from salthead.bookkeeping import records
 from salthead.bookkeeping.store import TROUBLES, Conflict, Refused, drop, put
 from salthead.coordination import fleet
-from salthead.coordination.model import BOOTING
+from salthead.coordination.model import BOOTING, Kind
+from salthead.coordination.refusals import Refusals
 from salthead.coordination.returns import ReturnDecision
 from salthead.evidence.gate import Action, Fact
 from salthead.protocol import names
@@ -48,8 +49,8 @@
         self.limits = term.limits
         self.hire_count = 0
         self.wanted = asyncio.Event()  # a job has come for which there is no machine
-        self.coming: dict[fleet.Kind, int] = {}
-        self.refusals = fleet.Refusals()
+        self.coming: dict[Kind, int] = {}
+        self.refusals = Refusals()
         # A quarter is left for the other nodes' reads of machine types.
         self.cloud_budget = Budget(term.limits.cloud.rps * 0.7, term.limits.cloud.rps, term.now)
         self.machine_types_stored: list[MachineType] = []
@@ -151,7 +152,7 @@
             self.term.views.show()
             await self.term.node.rest(max(PLAN_LEAST_GAP_S, REST_FACTOR * (self.now() - began)))
 
-    async def hire(self, kind: fleet.Kind, count: int) -> None:
+    async def hire(self, kind: Kind, count: int) -> None:
         """Rent machines of a kind; the same request is repeated until it is answered."""
         machine_type, zone, spot = kind
         self.hire_count += 1
--- a/src/salthead/leader/term.py
+++ b/src/salthead/leader/term.py
@@ -74,12 +74,12 @@
         self.tether = tether
         self.clock = clock
         self.ledger = Ledger(node.limits, token, node.now(), time.time())
-        self.ledger.on_change = self.wake
+        self.ledger.events.changed = self.wake
         self.ledger.lead_certain = self.valid
         self.outcomes = Outcomes(self)
-        self.ledger.on_complete = self.outcomes.want
-        self.ledger.on_pending_aborts = self.outcomes.wanted.set
-        self.ledger.on_room = self.offer
+        self.ledger.events.completed = self.outcomes.want
+        self.ledger.events.aborts_pending = self.outcomes.wanted.set
+        self.ledger.events.room_freed = self.offer
         self.ledger.set_machine_types(node.machine_types.values())
         self.changed = asyncio.Event()
         self.pages = SavedPages(self)
--- a/src/salthead/networks/directory.py
+++ b/src/salthead/networks/directory.py
@@ -4,7 +4,8 @@
 
 import netaddr
 
-from salthead.policy import Network, PolicyError
+from salthead.policy import Network
+from salthead.toml_file import FileError as PolicyError
 
 
 class NetworkDirectory:
--- a/src/salthead/node/job_lookups.py
+++ b/src/salthead/node/job_lookups.py
@@ -64,18 +64,8 @@
                 break  # those that are named come first
             if self.node.now() > end:
                 raise Later("still looking up the jobs that it awaits")
-            found: str | None = None
-            term = self.node.leading()
-            if job_id in self.node.finals:
-                found = self.node.finals[job_id][0]
-            elif (
-                term is not None
-                and job_id not in term.outcomes.in_doubt
-                and (job := term.ledger.jobs.get(job_id)) is not None
-            ):
-                found = job.over or (names.ABORTED if job.dependency_cancelled else None)
-                self.node.remember(job.spec)
-            else:
+            known, found = self._in_memory(job_id)
+            if not known:
                 if reads == LOOK_UPS:  # deep or wide: all jobs that are not over at once
                     active, _ = await self.node.store.rows(records.JOBS)
                 reads += 1
@@ -91,6 +81,19 @@
                     line.append(before)
         return cut
 
+    def _in_memory(self, job_id: str) -> tuple[bool, str | None]:
+        """Whether this node knows the job's outcome, or that it has none; and that outcome."""
+        if job_id in self.node.finals:
+            return True, self.node.finals[job_id][0]
+        term = self.node.leading()
+        if term is None or job_id in term.outcomes.in_doubt:
+            return False, None
+        job = term.ledger.jobs.get(job_id)
+        if job is None:
+            return False, None
+        self.node.remember(job.spec)
+        return True, job.over or (names.ABORTED if job.dependency_cancelled else None)
+
     async def look_up(self, job_id: str, row: Row | None) -> str | None:
         """A job's outcome, or None when it is not over and what it awaits is known."""
         if row is None:
--- a/src/salthead/protocol/messages.py
+++ b/src/salthead/protocol/messages.py
@@ -218,6 +218,15 @@
             if found.get(name) is None:
                 raise Malformed(f"{name}: missing")
     job = shape(found, Submission)
+    _check_values(job)
+    if job.depends_on is not None:
+        job.depends_on = list(dict.fromkeys(job.depends_on)) or None
+    job.at, job.more = 0.0, 0
+    return job
+
+
+def _check_values(job: Submission) -> None:
+    """What the types alone do not say; Malformed names the field."""
     if not JOB_ID.match(job.job_id):
         raise Malformed("uid: not of the form req-DIGITS")
     if not 1 <= job.task_count <= MAX_TASKS:
@@ -228,10 +237,6 @@
         finite(job.deadline_s, 0.0, "due_s")
     if job.vcpus <= 0 and job.accelerators <= 0 and job.ram_gb <= 0:
         raise Malformed("vcpus: a task must take something")
-    if job.depends_on is not None:
-        job.depends_on = list(dict.fromkeys(job.depends_on)) or None
-    job.at, job.more = 0.0, 0
-    return job
 
 
 def decode_report(body: bytes) -> Report:
--- a/src/salthead/zones/evacuation.py
+++ b/src/salthead/zones/evacuation.py
@@ -40,9 +40,9 @@
     if machine.held_for and now < machine.held_until:
         return
     until = now + CLAIM_PERIODS * ledger.limits.workers.report_s
-    for job in ledger.line:
+    for job in ledger.line.jobs:
         if job.job_id in displaced and _lacks(ledger, job, machine, now):
-            ledger.keep(machine, job.job_id, until)
+            ledger.room.keep(machine, job.job_id, until)
             return
         if not job.gang and job.waiting() and _suits(ledger, job, machine):
             return  # it stands before the gangs in line, and is served first
@@ -61,7 +61,7 @@
         return False
     if not placement.allows(job, machine) or placement.quota_left(ledger, job) < task_count:
         return False
-    kept = ledger.kept_for(job.job_id, now)
+    kept = ledger.room.kept_for(job.job_id, now)
     counts: dict[int, int] = {}
     for one in kept:
         counts[one.zone] = counts.get(one.zone, 0) + 1
--- a/src/salthead/zones/recovery.py
+++ b/src/salthead/zones/recovery.py
@@ -179,7 +179,7 @@
         else:
             self.returns.pop(zone, None)
         self._withhold(zone)
-        self.ledger.on_change()
+        self.ledger.events.changed()
 
     def _displace_earlier_jobs(self, zone: int, now: float) -> None:
         """What ran on machines that never reported to this leader is not known, so that all jobs
@@ -198,7 +198,7 @@
                 return
             name = self.ledger.zones[zone]
             log.info("zone %s: %.0f%% of its machines get new work", name, 100.0 * current.share)
-            self.ledger.on_change()
+            self.ledger.events.changed()
         current.choose(self.sets.heard_in(zone))
         self._withhold(zone)
 
--- a/tests/standins.py
+++ b/tests/standins.py
@@ -241,6 +241,10 @@
                     ],
                 },
             )
+        return self.hire(body)
+
+    def hire(self, body: Any) -> Answer:
+        """Rent machines; the same request again rents nothing."""
         if body["hire"] not in self.hired:
             names = []
             for _ in range(body["how_many"]):
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -103,7 +103,7 @@
     assert one.pause_until == led.limits.workers.report_s, "2 s doubling, capped at a report"
     assert place(led, 1.0) == [], "nothing has changed"
     assert place(led, 2.0) == [one] and one.pause_until == 4.0
-    led.on_room = lambda m, now: placement.offer(led, m, random.Random(1), now)
+    led.events.room_freed = lambda m, now: placement.offer(led, m, random.Random(1), now)
     led.add_machine("m1", "small", "north", False, 2.5, rostered=True)
     assert verbs(led.on_report(report("m1", 1), 2.5)) == [("start", "req-1/0")]
     assert one.bindings and one.pause == 0.0, "room that came ends the pause"
@@ -361,13 +361,13 @@
         assert len(other.bindings) == 16
         one = job(led, shape="gang", task_count=3, vcpus=8.0, urgency="urgent", at=2.0)
         preemption.preempt(led, place(led, 1.0), 1.0)
-        kept = {m.name for m in led.kept_for(one.job_id, 1.0)}
+        kept = {m.name for m in led.room.kept_for(one.job_id, 1.0)}
         silent = sorted(kept)[0]
         for name in set(led.machines) - {silent}:
             led.machines[name].heard = 5.0
         one.pause_until = 0.0
         preemption.preempt(led, place(led, 5.0), 5.0)
-        assert {m.name for m in led.kept_for(one.job_id, 5.0)} == set(led.machines) - {silent}
+        assert {m.name for m in led.room.kept_for(one.job_id, 5.0)} == set(led.machines) - {silent}
 
 
 class TestKeepingRoom:
@@ -390,7 +390,7 @@
         kept = [m.name for m in led.machines.values() if m.held_for == "req-1"]
         assert kept == ["m0", "m1"], "those that are free first"
         before = dict(late.bindings)
-        led.on_room = lambda m, now: placement.offer(led, m, random.Random(1), now)
+        led.events.room_freed = lambda m, now: placement.offer(led, m, random.Random(1), now)
         for name in kept:
             led.on_report(
                 report(
@@ -652,7 +652,7 @@
         for found in led.machines.values():
             found.heard = 200.0
         led.machines["m3"].cap = (40.0, 0.0, 99.0)
-        led.reindex(led.machines["m3"])
+        led.room.reindex(led.machines["m3"])
         place(led, 200.0)
         assert gang.bindings and led.rest_until[gang.team] == 210.0
         again = job(led, job_id="req-5", team="red", shape="gang", task_count=2, vcpus=8.0, at=0.0)
@@ -709,7 +709,7 @@
         place(led)
         one = job(led, shape="gang", task_count=2, vcpus=8.0, at=2.0)
         for name in led.machines:  # by an earlier pass, which found nothing to push aside
-            led.keep(led.machines[name], one.job_id, 9.0)
+            led.room.keep(led.machines[name], one.job_id, 9.0)
         preemption.preempt(led, place(led, 1.0), 1.0)
         assert all(b.stop is not None for b in other.bindings.values())
         stops, led.stops = len(led.stops), []
@@ -760,7 +760,7 @@
 
 
 def _kept(led: Ledger, one: Job, now: float) -> None:
-    led.keep(led.machines["m1"], "req-8", now + 5.0)
+    led.room.keep(led.machines["m1"], "req-8", now + 5.0)
 
 
 def _failed_there(led: Ledger, one: Job, now: float) -> None:
@@ -820,7 +820,7 @@
     one = job(led, job_id="req-1", task_count=1)
     for now in range(120):
         found.heard = float(now)
-        led.keep(found, "req-8", now + 5.0)
+        led.room.keep(found, "req-8", now + 5.0)
         place(led, float(now))
     assert not one.bindings and one.held_since is None
 
--- a/tests/test_scale.py
+++ b/tests/test_scale.py
@@ -51,7 +51,7 @@
     for n in range(jobs):
         job(led, job_id=f"req-{n}", task_count=machines, vcpus=2.0, estimated_run_s=50.0)
     placement.place(led, rng, 0.0)
-    led.on_room = lambda m, now: placement.offer(led, m, rng, now)
+    led.events.room_freed = lambda m, now: placement.offer(led, m, rng, now)
     assert sum(one.waiting() for one in led.jobs.values()) > machines
     return led
 
@@ -293,7 +293,7 @@
         for n in range(1000):
             found = machine(led, f"host-{n:06d}", world.now(), fencing_token=led.token)
             found.condemned, found.warn_at = "fails its tasks", world.now()
-            led.keep(found, f"req-{n:06d}", world.now() + 60.0)
+            led.room.keep(found, f"req-{n:06d}", world.now() + 60.0)
             job(led, job_id=f"req-{n:06d}", team="blue", job_class="b" * 60, task_count=100_000)
         return dict(leader.term.views.overview())
 
--- a/tests/test_zones.py
+++ b/tests/test_zones.py
@@ -368,10 +368,10 @@
     recovery.states[1].enter(LOST, "", 0.0)
     recovery.lost_tasks[1][gang.job_id] = 0.0
     recovery.observe(0.0)
-    led.line = [gang, array]
-    led.line_least = 2.0
+    led.line.jobs = [gang, array]
+    led.line.least_cpus = 2.0
     rng = random.Random(1)
-    led.on_room = lambda m, now: placement.offer(led, m, rng, now)
+    led.events.room_freed = lambda m, now: placement.offer(led, m, rng, now)
     first = machine(led, "n-new1", zone="north")
     assert first.held_for == gang.job_id and not first.bindings
     second = led.add_machine("n-new2", "small", "north", False, 0.0, rostered=True)
@@ -395,7 +395,7 @@
     led, _ = two_zones(each=3)
     led.caps[0] = (4.0, 0.0)
     gang = job(led, job_id="req-2", shape="gang", task_count=2, vcpus=7.0)
-    led.line = [job(led, job_id="req-1", **first), gang]
+    led.line.jobs = [job(led, job_id="req-1", **first), gang]
     evacuation.claim(led, {gang.job_id: 0.0}, led.machines["n0"], 0.0)
     assert (led.machines["n0"].held_for == gang.job_id) is claimed
 
@@ -414,7 +414,7 @@
         recovery.lost_tasks[1][gang.job_id] = 0.0
         recovery.observe(0.0)
     gangs.keep_room(led, [gang], 1.0)
-    assert len(led.kept_for(gang.job_id, 1.0)) == (2 if evacuating else 0)
+    assert len(led.room.kept_for(gang.job_id, 1.0)) == (2 if evacuating else 0)
 
 
 @pytest.mark.parametrize("phase", list(ZonePhase))
