A machine that was deaf for longer than a lease is asked directly, and used again

Ruled out: answering it at once (its lease would count from that). Change: a direct call that is answered makes it one of this term's, if its reports arrive as well. Also the overview in the field's terms, and its parts in functions of their own.

--- a/src/salthead/cli.py
+++ b/src/salthead/cli.py
@@ -272,6 +272,28 @@
     JobOption("borrowed", "--spot", "--borrowed", bool, "Spot machines may be used.", switch=True),
 ]
 JOB_FIELDS = frozenset(option.field for option in JOB_OPTIONS)
+JOB_COLUMNS = (
+    "job_id",
+    "team",
+    "class",
+    "urgency",
+    "phase",
+    "waiting",
+    "running",
+    "done",
+    "tasks",
+    "depends_on",
+    "reason",
+)
+# What rows of the overview call things on the wire, and what operators read. JSON has both.
+FIELD_TERMS = {
+    "uid": "job_id",
+    "crew": "team",
+    "breed": "class",
+    "pieces": "tasks",
+    "awaits": "depends_on",
+    "build": "type",
+}
 # Tables of the overview on links, with their columns.
 LINK_SECTIONS = {
     "links": ("group", "machines", "both_ways", "since_s", "diagnosis"),
@@ -410,6 +432,17 @@
     ]
 
 
+def in_field_terms(found: dict[str, Any]) -> dict[str, Any]:
+    """The overview with its rows of jobs and machines named in the field's terms as well."""
+    return found | {
+        section: [
+            row | {term: row[word] for word, term in FIELD_TERMS.items() if word in row}
+            for row in found[section]
+        ]
+        for section in ("jobs", "machines")
+    }
+
+
 def link_lines(found: dict[str, Any]) -> list[str]:
     """What is confirmed of links, and what is withheld; nothing where the policy is off."""
     lines: list[str] = []
@@ -426,6 +459,7 @@
     code, found = service.ask("GET", "/overview")
     if code != 200:
         fail(f"no overview: {found.get('error', code)}", UNREACHABLE)
+    found = in_field_terms(found)
     lines = [
         f"leader {found['leader']}, token {found['token']}, "
         f"{'ready' if found['ready'] else 'taking over'}",
@@ -434,27 +468,12 @@
     ]
     lines += table(found["teams"], ("name", "cpus", "guaranteed", "most"))
     lines += ["", f"jobs ({found['jobs_total']}):"]
-    # An earlier version that leads does not name what jobs await.
+    # An earlier version that leads names neither what jobs depend on nor why they wait.
     rows = [
-        job | {"awaits": " ".join(job.get("awaits") or []), "reason": job.get("reason") or ""}
+        job | {"depends_on": " ".join(job.get("depends_on") or []), "reason": job.get("reason", "")}
         for job in found["jobs"]
     ]
-    lines += table(
-        rows,
-        (
-            "uid",
-            "crew",
-            "breed",
-            "urgency",
-            "phase",
-            "waiting",
-            "running",
-            "done",
-            "pieces",
-            "awaits",
-            "reason",
-        ),
-    )
+    lines += table(rows, JOB_COLUMNS)
     if zones := found.get("zones"):
         lines += ["", "zones:"]
         columns = ("name", "state", "since_s", "machines", "unheard", "open", "reason")
@@ -465,7 +484,7 @@
     lines += link_lines(found)
     lines += ["", f"machines ({found['machines_total']}):"]
     lines += table(
-        found["machines"], ("name", "build", "zone", "kind", "phase", "cpus", "used", "note")
+        found["machines"], ("name", "type", "zone", "kind", "phase", "cpus", "used", "note")
     )
     service.show(found, "\n".join(lines))
 
--- a/src/salthead/coordination/reports.py
+++ b/src/salthead/coordination/reports.py
@@ -183,9 +183,9 @@
     still does not know the token after a whole lease gets no more, nor one that neither answers
     nor direct calls reach. Such calls are repeated, and one that is answered ends that.
     """
-    machine.first_answered_at = min(machine.first_answered_at, now)
     if ledger.shared_silence is not None and machine.links.unreachable():
         return False
+    machine.first_answered_at = min(machine.first_answered_at, now)
     return now - machine.first_answered_at <= ledger.limits.workers.lease_s
 
 
--- a/src/salthead/leader/link_loop.py
+++ b/src/salthead/leader/link_loop.py
@@ -32,6 +32,10 @@
     reach: PeerReach
 
 
+def _rounded(seconds: float | None) -> float | None:
+    return None if seconds is None else round(seconds, 1)
+
+
 class LinkLoop:
     """Follows the links while the term lasts; what it finds decides nothing by itself."""
 
@@ -113,7 +117,7 @@
                 {
                     "name": member,
                     "answered_s": round(now - found.asked_at, 1),
-                    "state_service_s": found.reach.state_service_s,
+                    "state_service_s": _rounded(found.reach.state_service_s),
                     "workers_there": found.reach.redirected,
                 }
                 for member, found in self.peers.items()
--- a/src/salthead/leader/views.py
+++ b/src/salthead/leader/views.py
@@ -7,10 +7,11 @@
 
 from salthead import metrics
 from salthead.coordination import placement
-from salthead.coordination.model import UP
+from salthead.coordination.model import UP, Job, Machine
 
 if TYPE_CHECKING:
     from salthead.leader.term import Term
+    from salthead.networks.silence import NetworkView
     from salthead.zones.recovery import ZoneView
 
 log = logging.getLogger("salthead.views")
@@ -33,6 +34,15 @@
     }
 
 
+def _network_row(view: NetworkView) -> dict[str, Any]:
+    return {
+        "name": view.name,
+        "prefix": view.prefix,
+        "machines": view.machines,
+        "unheard": view.unheard,
+    }
+
+
 class Views:
     """What operators are shown of one term."""
 
@@ -48,45 +58,30 @@
         """Queue and fleet for operators, cut to what fits into an answer."""
         ledger, now = self.ledger, self.now()
         recovery = self.term.zone_loop.recovery if self.term.zone_loop is not None else None
-        jobs = []
-        for job in sorted(ledger.jobs.values(), key=lambda job: job.spec.at)[:OVERVIEW_ROWS]:
-            phase, done, running = ledger.phase_of(job)
-            jobs.append(
-                {
-                    "uid": job.job_id,
-                    "crew": job.spec.team,
-                    "breed": job.spec.job_class,
-                    "urgency": job.spec.urgency,
-                    "phase": phase,
-                    "waiting": job.waiting(),
-                    "running": running,
-                    "done": done,
-                    "pieces": job.spec.task_count,
-                    "awaits": ledger.awaited_by(job.job_id, OVERVIEW_AWAITS),
-                    "reason": recovery.reason(job) if recovery is not None else "",
-                }
-            )
-        machines = []
-        for machine in sorted(ledger.machines.values(), key=lambda m: m.name)[:OVERVIEW_ROWS]:
-            notes = [
-                machine.condemned,
-                "cordoned" if machine.cordoned else "",
-                f"kept for {machine.held_for}" if now < machine.held_until else "",
-                "is taken soon" if machine.warn_at is not None else "",
-            ]
-            machines.append(
-                {
-                    "name": machine.name,
-                    "build": ledger.type_names[machine.machine_type],
-                    "zone": ledger.zones[machine.zone],
-                    "kind": "spot" if machine.spot else "ordinary",
-                    "phase": machine.phase,
-                    "cpus": machine.cap[0],
-                    "used": round(machine.used[0], 3),
-                    "note": ", ".join(note for note in notes if note),
-                }
-            )
-        teams = [
+        links = self.term.link_loop.overview() if self.term.link_loop is not None else {}
+        jobs = sorted(ledger.jobs.values(), key=lambda job: job.spec.at)
+        machines = sorted(ledger.machines.values(), key=lambda machine: machine.name)
+        return links | {
+            "leader": self.term.node.settings.member,
+            "token": self.term.token,
+            "ready": ledger.ready,
+            "teams": self._team_rows(),
+            "jobs": [
+                self._job_row(job, recovery.reason(job) if recovery is not None else "")
+                for job in jobs[:OVERVIEW_ROWS]
+            ],
+            "jobs_total": len(jobs),
+            "machines": [self._machine_row(machine, now) for machine in machines[:OVERVIEW_ROWS]],
+            "machines_total": len(machines),
+            "zones": [_zone_row(view) for view in recovery.views(now)] if recovery else [],
+            "networks": [_network_row(view) for view in recovery.network_views()]
+            if recovery
+            else [],
+        }
+
+    def _team_rows(self) -> list[dict[str, Any]]:
+        ledger = self.ledger
+        return [
             {
                 "name": name,
                 "cpus": round(ledger.usage[n][0], 3),
@@ -95,26 +90,39 @@
             }
             for n, name in enumerate(ledger.team_names.names)
         ]
-        links = self.term.link_loop.overview() if self.term.link_loop is not None else {}
-        return links | {
-            "leader": self.term.node.settings.member,
-            "token": self.term.token,
-            "ready": ledger.ready,
-            "teams": teams,
-            "jobs": jobs,
-            "jobs_total": len(ledger.jobs),
-            "machines": machines,
-            "machines_total": len(ledger.machines),
-            "zones": [_zone_row(view) for view in recovery.views(now)] if recovery else [],
-            "networks": [
-                {
-                    "name": view.name,
-                    "prefix": view.prefix,
-                    "machines": view.machines,
-                    "unheard": view.unheard,
-                }
-                for view in (recovery.network_views() if recovery else [])
-            ],
+
+    def _job_row(self, job: Job, reason: str) -> dict[str, Any]:
+        phase, done, running = self.ledger.phase_of(job)
+        return {
+            "uid": job.job_id,
+            "crew": job.spec.team,
+            "breed": job.spec.job_class,
+            "urgency": job.spec.urgency,
+            "phase": phase,
+            "waiting": job.waiting(),
+            "running": running,
+            "done": done,
+            "pieces": job.spec.task_count,
+            "awaits": self.ledger.awaited_by(job.job_id, OVERVIEW_AWAITS),
+            "reason": reason,
+        }
+
+    def _machine_row(self, machine: Machine, now: float) -> dict[str, Any]:
+        notes = [
+            machine.condemned,
+            "cordoned" if machine.cordoned else "",
+            f"kept for {machine.held_for}" if now < machine.held_until else "",
+            "is taken soon" if machine.warn_at is not None else "",
+        ]
+        return {
+            "name": machine.name,
+            "build": self.ledger.type_names[machine.machine_type],
+            "zone": self.ledger.zones[machine.zone],
+            "kind": "spot" if machine.spot else "ordinary",
+            "phase": machine.phase,
+            "cpus": machine.cap[0],
+            "used": round(machine.used[0], 3),
+            "note": ", ".join(note for note in notes if note),
         }
 
     def account(self, now: float) -> None:
--- a/src/salthead/leader/worker_calls.py
+++ b/src/salthead/leader/worker_calls.py
@@ -122,15 +122,28 @@
 
             async def some(left: Iterator[Machine] = left) -> None:
                 for machine in left:
-                    if machine.joined or machine.phase == LOST:
-                        await self.probe(machine)
-                    else:
+                    if self._may_join(machine):
                         await self.join(machine, PROBE_S)
+                    else:
+                        await self.probe(machine)
 
             await asyncio.gather(
                 *(some() for _ in range(max(1, self.term.node.sockets.joins // 4)))
             )
 
+    def _may_join(self, machine: Machine) -> bool:
+        """Whether a call that is answered may make the machine one of this term's.
+
+        One whose lease is over is given work again only if its reports arrive as well: starts
+        travel in the answers to these. Without the call a machine that was deaf for longer than a
+        lease was never answered again (98 of them were returned on one-way-machines).
+        """
+        if machine.joined:
+            return False
+        fresh_s = placement.FRESH_PERIODS * self.term.limits.workers.report_s
+        reports_arrive = self.term.now() - machine.links.reports_at <= fresh_s
+        return machine.phase == UP or reports_arrive
+
     def _in_doubt(self, now: float) -> list[Machine]:
         fresh_s = placement.FRESH_PERIODS * self.term.limits.workers.report_s
         return [
--- a/tests/test_cuts.py
+++ b/tests/test_cuts.py
@@ -278,6 +278,24 @@
     assert took <= LEASE_S + 5.0 + 2.0 and broken == [] and returned == 0
 
 
+def test_machines_that_were_deaf_for_two_leases_are_used_again() -> None:
+    async def scene() -> tuple[set[str], set[str], list[str]]:
+        world = CutWorld(2, most=4)
+        name = await begun(world)
+        south = {worker.name for worker in world.in_zone("south")}
+        world.drops = {Direction(node, "south") for node in world.names}
+        await world.crash(name)
+        world.boot(name)
+        await asyncio.sleep(2.5 * LEASE_S)
+        world.heal()
+        await asyncio.sleep(12.0)
+        used = {worker.name for worker, _ in world.on_machines()}
+        return south, used & south, world.found()
+
+    south, used, broken = run(scene)
+    assert used == south and not broken
+
+
 @pytest.mark.parametrize(
     ("asked", "allowed", "counted"),
     [(False, False, False), (True, False, False), (False, True, False), (True, True, True)],
