--- a/tests/test_cut_loopback.py
+++ b/tests/test_cut_loopback.py
@@ -110,6 +110,16 @@
                 self.cancelled.setdefault(job_id, self.now())
         return answer
 
+    async def until_diagnosed(self, group: str, diagnosis: str) -> None:
+        """Until the operators' overview says so of a group."""
+        rows: list[dict[str, Any]] = []
+        for _ in range(150):
+            rows = (await self.ask("GET", "/overview")).body["links"]
+            if any(row["group"] == group and diagnosis in row["diagnosis"] for row in rows):
+                return
+            await asyncio.sleep(0.2)
+        raise AssertionError(f"never diagnosed: {rows}")
+
     def snapshot(self) -> None:
         super().snapshot()
         self.answers.present(self.now(), {task_id for _, task_id in self.on_machines()})
@@ -164,7 +174,7 @@
         proxy.from_target.set(Mode.DROP)
         if proxy in world.commands["south"]:
             proxy.to_target.set(Mode.DROP)
-    await asyncio.sleep(2.0)
+    await world.until_diagnosed("network south-1", "reports arrive answers do not")
     ended = local.leader()
     local.kill(ended)
     await asyncio.sleep(0.3)
--- a/tests/test_cuts.py
+++ b/tests/test_cuts.py
@@ -21,6 +21,7 @@
 from salthead.evidence.gate import REQUIRED, Action, Fact, fact_names, lacking, permits
 from salthead.evidence.shared_silence import SharedSilence
 from standins import run
+from test_scale import calls
 
 ROOT = Path(__file__).resolve().parent.parent
 CUT_POLICY = CUTS_ON.partial_cuts
@@ -221,6 +222,19 @@
     assert found.phase == LOST
 
 
+@pytest.mark.parametrize("machines", [400, 4000])
+def test_following_links_costs_a_report_nothing_that_grows(machines: int) -> None:
+    led = with_policy(ready(initial_size=3))
+    for n in range(machines):
+        machine(led, f"m{n}", zone=("north", "south")[n % 2])
+    same = [report("m1", n, zone="south") for n in (2, 3, 4)]
+    led.on_report(same[0], 1.0)
+    led.on_report(same[1], 2.0)
+    assert calls(lambda: led.on_report(same[2], 3.0)) <= 5, "three as without, two for the bitmap"
+    silence = led.shared_silence
+    assert silence is not None and calls(lambda: silence.look(10.0)) <= 60
+
+
 # -- days on fake time
 
 
--- a/tests/test_history.py
+++ b/tests/test_history.py
@@ -5,7 +5,7 @@
 import pytest
 
 from helpers import spec
-from history import History, Present
+from history import AnswerHistory, History, Present
 
 SPECS = {
     one.job_id: one
@@ -53,6 +53,33 @@
     assert all(what in one for what, one in zip(found, history.broken, strict=True))
 
 
+TOLD, RECORDED, PRESENT = "told", "recorded", "present"
+
+
+@pytest.mark.parametrize(
+    ("events", "found"),
+    [
+        ([(1.0, TOLD, "running"), (3.0, TOLD, "done"), (4.0, RECORDED, "done")], ""),
+        ([(3.0, TOLD, "done"), (3.0, TOLD, "running")], ""),  # asked before that was told
+        ([(3.0, TOLD, "done"), (5.0, TOLD, "running")], "an older answer"),
+        ([(3.0, TOLD, "done"), (5.0, TOLD, "aborted")], "two final answers"),
+        ([(3.0, RECORDED, "done"), (5.0, RECORDED, "aborted")], "two outcomes recorded"),
+        ([(3.0, TOLD, "aborted"), (42.0, PRESENT, "")], ""),
+        ([(3.0, TOLD, "aborted"), (43.5, PRESENT, "")], "there after its job was cancelled"),
+    ],
+)
+def test_answers(events: list[tuple[float, str, str]], found: str) -> None:
+    history = AnswerHistory(cancel_s=40.0)
+    for at, what, phase in events:
+        if what == TOLD:
+            history.told(at - 0.5, at, "req-1", phase)
+        elif what == RECORDED:
+            history.recorded(at, "req-1", phase)
+        else:
+            history.present(at, {"req-1/0"})
+    assert len(history.broken) == bool(found) and all(found in one for one in history.broken)
+
+
 def test_placements_are_kept_in_their_order() -> None:
     history = History(SPECS, {"red": 12.0, "blue": 64.0}, partial_most_s=10.0)
     history.observe(0.0, there(A1))
