Peers tell a leader of all reports that came to them instead

Need: of a machine that went deaf under this leader nothing was known until its session rose: its diagnosis was silence. Change: the field that peers answer names each report that came there, with the token that it showed.

--- a/src/salthead/coordination/reports.py
+++ b/src/salthead/coordination/reports.py
@@ -141,15 +141,18 @@
         machine.answered = -math.inf
 
 
-def seen_elsewhere(ledger: Ledger, worker: str, session: int, sequence: int, now: float) -> None:
-    """A report came to another node, and did not show this term's token.
+def seen_elsewhere(
+    ledger: Ledger, worker: str, number: tuple[int, int], shows_token: bool, now: float
+) -> None:
+    """A report, by session and sequence, came to another node: it missed this one's answer.
 
-    A deaf worker asks all nodes in turn, so that the next report here may be three time-outs away.
+    A deaf worker asks all nodes in turn, so that its next report here may be three time-outs away.
     """
     machine = ledger.machines.get(worker)
-    if machine is None or machine.joined or not machine.links.answered_at > -math.inf:
+    if machine is None:
         return
-    if machine.links.report_came(session, sequence, False, ledger.other_controllers, now):
+    lost = machine.links.turned_away(*number, shows_token, now)
+    if lost and not shows_token and not machine.joined:
         machine.answered = -math.inf
 
 
--- a/src/salthead/evidence/links.py
+++ b/src/salthead/evidence/links.py
@@ -55,6 +55,23 @@
             self.unheard_answers = 0
         return False
 
+    def turned_away(self, session: int, sequence: int, shows_token: bool, now: float) -> bool:
+        """A report came to another node; whether it shows that the answer given here was lost.
+
+        A worker stays with the node that answers it. One that has shown the token may have left for
+        another reason than the last answer, unless this is the very next report.
+        """
+        if (session, sequence) <= (self.answered_session, self.answered_sequence):
+            return False
+        self.reports_at = now
+        if self.answered_sequence < 0:
+            return False
+        next_one = (session, sequence) == (self.answered_session, self.answered_sequence + 1)
+        if shows_token and not next_one:
+            return False
+        self.unheard_answers += 1
+        return True
+
     def answered(self, session: int, sequence: int, now: float) -> None:
         """A report is answered with 200 now."""
         if (session, sequence) > (self.answered_session, self.answered_sequence):
--- a/src/salthead/leader/link_loop.py
+++ b/src/salthead/leader/link_loop.py
@@ -72,15 +72,18 @@
 
     async def _ask(self, member: str) -> None:
         sent = self.term.now()
-        # Which workers an answer missed matters only while one may hold up the takeover.
-        token = 0 if self.ledger.ready else self.term.token
-        found = await ask_reach(self.term.node.peers[member], token)
+        found = await ask_reach(self.term.node.peers[member], leads=True)
         if found is None:
             return
         self.peers[member] = PeerAnswer(sent, found)
-        for seen in found.outdated:
+        for seen in found.seen:
+            shows_token = seen.token == self.term.token
             reports.seen_elsewhere(
-                self.ledger, seen.worker, seen.session, seen.sequence, self.term.now()
+                self.ledger,
+                seen.worker,
+                (seen.session, seen.sequence),
+                shows_token,
+                self.term.now(),
             )
 
     def _show(self) -> None:
--- a/src/salthead/leader/peer_calls.py
+++ b/src/salthead/leader/peer_calls.py
@@ -10,7 +10,7 @@
 from salthead.protocol import names
 from salthead.transport.client import Caller, Unanswered
 
-TOKEN_FIELD = "token"
+LEADS_FIELD = "leads"
 REACH_S = 1.0  # for an answer to a question that is answered from memory
 
 
@@ -20,6 +20,7 @@
     worker: str
     session: int
     sequence: int
+    token: int  # that the worker had accepted
 
 
 @dataclass(frozen=True, slots=True)
@@ -28,16 +29,16 @@
 
     redirected: int  # workers that came to it lately although it does not lead
     state_service_s: float | None  # since when the state service has not answered it
-    outdated: list[ReportSeen]  # of workers that had not accepted the token of who asks
+    seen: list[ReportSeen]  # reports that came to it lately although it does not lead
 
 
-async def ask_reach(peer: Caller, token: int = 0) -> PeerReach | None:
+async def ask_reach(peer: Caller, leads: bool = False) -> PeerReach | None:
     """Ask a peer what it reaches; None when it does not answer.
 
-    ``token``: of a leader that wants to know which workers, by what they report there, have not
-    accepted it. The version in production ignores that, and names none.
+    ``leads``: by a leader that wants to know which reports came there instead. The version in
+    production ignores that, and names none.
     """
-    body = {TOKEN_FIELD: token} if token else None
+    body = {LEADS_FIELD: True} if leads else None
     try:
         answer = await peer.call("POST", names.PEER_REDIRECTED, body, timeout=REACH_S)
     except Unanswered:
@@ -48,7 +49,7 @@
     return PeerReach(
         redirected if type(redirected) is int else 0,
         served if type(served) is float else None,
-        _reports_seen(answer.body.get("outdated")),
+        _reports_seen(answer.body.get("seen")),
     )
 
 
--- a/src/salthead/node/handlers.py
+++ b/src/salthead/node/handlers.py
@@ -9,7 +9,7 @@
 from salthead import metrics
 from salthead.bookkeeping.store import Conflict, NoLease, Refused
 from salthead.errors import Later, Rejected
-from salthead.leader.peer_calls import TOKEN_FIELD
+from salthead.leader.peer_calls import LEADS_FIELD
 from salthead.leader.term import Term
 from salthead.node.node import Node
 from salthead.protocol import names
@@ -198,13 +198,11 @@
 
     def redirected(self, request: Request) -> Reply:
         """How many workers came here although another node leads."""
-        token = 0
-        if request.body:
-            try:
-                token = decode_map(request.body).get(TOKEN_FIELD, 0)
-            except Malformed as error:
-                return _error(400, error)
-        return Reply(200, self.node.knocks_body(token if type(token) is int else 0))
+        try:
+            asked = decode_map(request.body) if request.body else {}
+        except Malformed as error:
+            return _error(400, error)
+        return Reply(200, self.node.knocks_body(asked.get(LEADS_FIELD) is True))
 
     def overview(self, request: Request) -> Reply:
         """The operators' view, forwarded to the leader."""
--- a/src/salthead/node/node.py
+++ b/src/salthead/node/node.py
@@ -142,9 +142,9 @@
             await asyncio.sleep(LAG_EVERY_S)
             self.lag = self.now() - due
 
-    def knocks_body(self, token: int = 0) -> dict[str, Any]:
+    def knocks_body(self, to_leader: bool = False) -> dict[str, Any]:
         """What a peer is told of this node's reach."""
-        return self.reach.as_told(token)
+        return self.reach.as_told(to_leader)
 
     def up(self) -> bool:
         """Whether the load balancer may send users here."""
@@ -206,8 +206,7 @@
             if self.zone_keeper.keeps(report):
                 self.reach.note_redirected(who or report.worker)
                 return 200, {"baton": self.leader_token, "orders": []}
-            if report.fencing_token < self.leader_token:
-                self.reach.note_outdated(report)
+            self.reach.note_seen(report)
             return self.redirect(who or report.worker)
         orders = term.on_report(report)
         if orders is None:
--- a/src/salthead/node/reach.py
+++ b/src/salthead/node/reach.py
@@ -4,6 +4,7 @@
 
 import asyncio
 from collections import OrderedDict
+from itertools import islice
 from typing import TYPE_CHECKING, Any, NamedTuple
 
 from salthead.bookkeeping import records
@@ -21,14 +22,14 @@
 # The load balancer's probes are about this far apart.
 REACH_S = 1.0
 
-# For how long what a worker reported here may be news to the leader, which asks every two seconds;
-# and of how many workers it is told at a time: 64 KiB have room for twice as many.
-OUTDATED_WINDOW_S = 6.0
-OUTDATED_TOLD = 1500
+# For how long a report that came here may be news to the leader, which asks every two seconds; and
+# of how many it is told at a time: 64 KiB have room for twice as many.
+SEEN_WINDOW_S = 6.0
+SEEN_TOLD = 1500
 
 
-class OutdatedReport(NamedTuple):
-    """Which report a worker sent here, and the token that it showed."""
+class SeenReport(NamedTuple):
+    """Which report a worker sent here although another node leads, and the token that it showed."""
 
     session: int
     sequence: int
@@ -45,8 +46,8 @@
         self.others_served = -1e9  # when one last said that the state service serves it
         # Workers that this node sent to the leader, and when; who came last stands last.
         self.redirected: OrderedDict[str, float] = OrderedDict()
-        # Reports of workers that had not accepted the leader's token: what came last stands last.
-        self.outdated: OrderedDict[str, OutdatedReport] = OrderedDict()
+        # Their latest reports, in the same order.
+        self.seen: OrderedDict[str, SeenReport] = OrderedDict()
 
     async def loop(self) -> None:
         """Whether this node reaches the state service or any other node, and they the service."""
@@ -70,18 +71,18 @@
         if found.state_service_s is not None and found.state_service_s < 2.0 * REACH_S:
             self.others_served = self.node.now()
 
-    def as_told(self, token: int = 0) -> dict[str, Any]:
-        """What a peer is told of this node's reach; to a leader with its token, whom it missed."""
+    def as_told(self, to_leader: bool = False) -> dict[str, Any]:
+        """What a peer is told of this node's reach; a leader also, which workers it has missed."""
         told: dict[str, Any] = {
             "knocks": self.redirected_count(),
             "served_s": self.node.now() - self.node.store.answered,
         }
-        if token:
-            told["outdated"] = [
-                [worker, seen.session, seen.sequence]
-                for worker, seen in self.outdated.items()
-                if seen.token < token
-            ][-OUTDATED_TOLD:]
+        if to_leader:
+            self._forget_old()
+            told["seen"] = [
+                [worker, found.session, found.sequence, found.token]
+                for worker, found in islice(reversed(self.seen.items()), SEEN_TOLD)
+            ]
         return told
 
     def refused_alone(self) -> bool:
@@ -103,15 +104,18 @@
         self.redirected[who] = self.node.now()
         self.redirected.move_to_end(who)
 
-    def note_outdated(self, report: Report) -> None:
-        """A worker that had not accepted the leader's token came here."""
-        now = self.node.now()
-        self.outdated[report.worker] = OutdatedReport(
-            report.session, report.sequence, report.fencing_token, now
+    def note_seen(self, report: Report) -> None:
+        """A worker reported here although another node leads."""
+        self.seen[report.worker] = SeenReport(
+            report.session, report.sequence, report.fencing_token, self.node.now()
         )
-        self.outdated.move_to_end(report.worker)
-        while next(iter(self.outdated.values())).at < now - OUTDATED_WINDOW_S:
-            self.outdated.popitem(last=False)
+        self.seen.move_to_end(report.worker)
+        self._forget_old()
+
+    def _forget_old(self) -> None:
+        since = self.node.now() - SEEN_WINDOW_S
+        while self.seen and next(iter(self.seen.values())).at < since:
+            self.seen.popitem(last=False)
 
     def redirected_count(self) -> int:
         """How many workers came here lately although another node leads.
