--- a/tests/test_cuts.py
+++ b/tests/test_cuts.py
@@ -16,7 +16,7 @@
 from salthead.coordination import fleet, reports
 from salthead.coordination.ledger import Ledger
 from salthead.coordination.model import LOST, UP
-from salthead.coordination.returns import LOST_REASON, ReturnDecision
+from salthead.coordination.returns import LOST_REASON, SILENT_REASON, ReturnDecision
 from salthead.evidence.diagnosis import LinkState, link_state
 from salthead.evidence.gate import REQUIRED, Action, Fact, fact_names, lacking, permits
 from salthead.evidence.shared_silence import SharedSilence
@@ -160,14 +160,15 @@
 @pytest.mark.parametrize(
     ("silent", "one_way", "returned"),
     [
-        # of twelve machines; at the end of the lease, and a boot and a half of 20 s after it
-        (1, False, (1, 1)),  # it died
-        (1, True, (0, 1)),  # it answers calls
-        (5, False, (0, 5)),  # a cut
+        # of twelve machines; at the end of the lease, and a boot of 20 s after it
+        (1, "", (1, 1)),  # it died
+        (1, "commands", (0, 1)),  # it answers calls
+        (1, "reports", (0, 1)),  # they come to another node, which it doesn't hear either
+        (5, "", (0, 5)),  # a cut
     ],
 )
 def test_what_may_be_well_is_waited_for(
-    silent: int, one_way: bool, returned: tuple[int, int]
+    silent: int, one_way: str, returned: tuple[int, int]
 ) -> None:
     led = with_policy(ready())
     names = [f"m{n}" for n in range(12)]
@@ -180,13 +181,55 @@
             led.on_report(report(name, now), float(now))
         led.tick(float(now))
         for name in names[:silent]:
-            if one_way and now > 8:
+            if one_way == "commands" and now > 8:
                 led.machines[name].links.command_answered(float(now))
+            elif one_way == "reports":
+                reports.seen_elsewhere(led, name, (1, now), True, float(now))
         plan = fleet.plan(led, float(now), fleet.Refusals(), {})
         found.append(sum(reason == LOST_REASON for reason in plan.reasons.values()))
     assert (found[7], found[-1]) == returned
 
 
+def test_one_that_hears_nothing_is_waited_for_as_well() -> None:
+    led = with_policy(ready())
+    found = machine(led, "m1")
+    found.unresponsive_since = 0.0
+    for now, returned in ((LEASE_S + 1.0, 0), (21.0, 1)):
+        led.on_report(report("m1", int(now)), now)
+        assert len(fleet.plan(led, now, fleet.Refusals(), {}).returns) == returned
+
+
+@pytest.mark.parametrize(("south", "returned"), [(4, 0), (2, 2)])
+def test_a_takeover_returns_no_few_that_share_their_silence(south: int, returned: int) -> None:
+    # Few of the fleet, but all of a zone; the other way two that died.
+    led = with_policy(ledger())
+    for n in range(40):
+        led.add_machine(f"m{n}", "small", ("north", "south")[n < south], False, 0.0, rostered=True)
+    assert led.shared_silence is not None
+    led.shared_silence.look(1.0)
+    assert not led.shared_silence.cut, "nobody has had the time to find this leader"
+    for n in range(south, 40):
+        led.on_report(report(f"m{n}", 1), 2.0)
+    plan = fleet.plan(led, 4.0, fleet.Refusals(), {})
+    assert list(plan.reasons.values()) == [SILENT_REASON] * returned
+
+
+def test_what_was_returned_still_counts_towards_a_cut() -> None:
+    led = with_policy(ready())
+    for n in range(12):
+        machine(led, f"m{n}")
+    silence = led.shared_silence
+    assert silence is not None
+    for now in range(2, 15):
+        for n in range(3, 12):
+            led.on_report(report(f"m{n}", now), float(now))
+        led.tick(float(now))
+    for name in ("m0", "m1"):
+        led.machine_gone(led.machines[name], 14.0)
+    silence.look(14.0)
+    assert silence.behind_cut(led.machines["m2"])
+
+
 def test_leases_that_end_one_by_one_are_one_cut() -> None:
     # Seen on prairie-ledger-hunt: 194 machines of a zone that was cut off were returned within ten
     # seconds, since those already returned no longer counted.
@@ -215,6 +258,48 @@
     assert lost.holds() and not idle.holds()
     led.on_report(report("m1", 1, session=2), LEASE_S + 2.0)
     assert found.phase == UP and not lost.holds()
+    silent = ReturnDecision.of(found, SILENT_REASON)
+    assert silent.holds()
+    led.on_report(report("m1", 2, session=2), LEASE_S + 3.0)
+    assert not silent.holds(), "up as before, and no longer silent"
+
+
+@pytest.mark.parametrize(
+    ("given", "answered", "heard"),
+    [
+        ({}, True, 9.0),
+        ({"session": 2}, True, 9.0),
+        ({"sequence": 2}, True, 2.0),  # a copy
+        ({"warning_s": 5.0}, True, 9.0),
+        ({"fencing_token": 8}, False, 2.0),
+    ],
+)
+@pytest.mark.parametrize("before", ["", "deposed", "lost", "warned", "unrostered"])
+def test_the_short_way_of_a_report_is_taken_only_where_nothing_changes(
+    given: dict[str, int], answered: bool, heard: float, before: str
+) -> None:
+    led = with_policy(ready())
+    found = machine(led, "m1")
+    led.on_report(report("m1", 2), 2.0)
+    led.on_report(report("m1", 3), 2.0)
+    if before == "deposed":
+        led.deposed_by = 9
+    elif before == "lost":
+        led.tick(20.0)
+    elif before == "warned":
+        found.warn_at = 5.0
+    elif before == "unrostered":
+        found.rostered = False
+        led.bind(job(led, task_count=1), 0, found, 5, 2.0)
+    more = {name: value for name, value in given.items() if name != "sequence"}
+    answer = led.on_report(report("m1", given.get("sequence", 4), **more), 9.0)
+    lost = before == "lost" and given.get("session") != 2
+    refused = not answered or before == "deposed" or lost
+    assert answer == (None if refused else [])
+    assert found.heard == (2.0 if refused else heard)
+    assert found.session == (2 if given.get("session") == 2 and not refused else 1)
+    if not refused and heard == 9.0:
+        assert (found.warn_at is None) == ("warning_s" not in given)
 
 
 def test_a_leader_without_its_lease_judges_nothing() -> None:
@@ -274,6 +359,55 @@
     assert left == expected
 
 
+def test_nothing_is_hired_once_the_lead_is_uncertain() -> None:
+    async def scene() -> tuple[int, int]:
+        world = CutWorld(1, nodes=1)
+        leader = world.nodes[await begun(world)]
+        assert leader is not None
+        term, before = leader.term, len(world.cloud.hired)
+        kind = next(iter(term.ledger.machines.values())).kind
+        world.most = world.most_in_zone["north"] = 99
+        term.clock.drop()
+        await term.rental.hire(kind, 1)
+        return before, len(world.cloud.hired)
+
+    before, after = run(scene)
+    assert after == before
+
+
+def test_a_mute_machine_whose_lease_is_over_gets_no_work() -> None:
+    async def scene() -> set[str]:
+        world = CutWorld(5, most=4)
+        await begun(world)
+        world.drops = {Direction("south", node) for node in world.names}
+        await asyncio.sleep(LEASE_S + 2.0)
+        phases: set[str] = set()
+        for _ in range(60):  # calls reach it all the time, and it would hear of no start
+            leader = world.leader()
+            assert leader is not None
+            phases |= {m.phase for m in leader.term.ledger.machines.values() if m.zone == 1}
+            await asyncio.sleep(0.2)
+        assert not world.found()
+        return phases
+
+    assert run(scene) == {LOST}
+
+
+def test_a_peer_tells_what_came_to_it_lately() -> None:
+    async def scene() -> tuple[list[list[object]], list[list[object]]]:
+        world = CutWorld(6)
+        name = await begun(world)
+        other = next(node for member, node in world.nodes.items() if member != name)
+        assert other is not None
+        other.on_report(report("m9", 4, fencing_token=0))
+        first = other.knocks_body(True)["seen"]
+        assert "seen" not in other.knocks_body()
+        await asyncio.sleep(7.0)
+        return first, other.knocks_body(True)["seen"]
+
+    assert run(scene) == ([["m9", 1, 4, 0]], [])
+
+
 def test_a_third_of_the_machines_deaf_hold_a_takeover_for_about_a_lease() -> None:
     # 33 s and 46 s on the hunt sites, of leases of 15.25 s and 21 s.
     async def scene() -> tuple[float, list[str], int]:
@@ -324,7 +458,7 @@
     asked: bool, allowed: bool, counted: bool
 ) -> None:
     # 7 s longer after each crash of a leader, since its peers ask before there is a new one.
-    async def scene() -> tuple[float, bool]:
+    async def scene() -> tuple[float, bool, bool]:
         world = CutWorld(4)
         name = await begun(world)
         words = {"token": 1, "nonce": "x", "area": "south"}
@@ -335,11 +469,13 @@
         while (leader := world.leader()) is None or not leader.term.ledger.loaded:
             await asyncio.sleep(0.05)
         later = leader.term.ledger.leases_from - leader.term.ledger.took_over
-        await asyncio.sleep(8.0)
-        return later, "kept/n9" in world.state.keys
+        await asyncio.sleep(2.0)
+        soon = "kept/n9" in world.state.keys
+        await asyncio.sleep(6.0)
+        return later, soon, "kept/n9" in world.state.keys
 
-    later, kept = run(scene)
-    assert (later > 3.0) == counted and not kept
+    later, soon, kept = run(scene)
+    assert (later > 3.0) == counted == soon and not kept
 
 
 def test_a_leader_that_lost_its_lease_shows_itself_as_not_leading() -> None:
