--- a/src/salthead/coordination/reports.py
+++ b/src/salthead/coordination/reports.py
@@ -227,6 +227,10 @@
 
 def _came_up(ledger: Ledger, machine: Machine, now: float) -> None:
     log.info("machine %s up, %.1f s after its hire", machine.name, now - machine.hired_at)
+    if machine.phase == LOST:
+        # That it was not needed was found while others did its work: seen on one-way-machines,
+        # moana-buoys-hunt, 7 and 19 machines returned within seconds of coming back.
+        machine.surplus_since, machine.cordoned = None, False
     ledger.set_phase(machine, UP)
     machine.freed = True
     ledger.events.changed()
--- a/tests/test_cuts.py
+++ b/tests/test_cuts.py
@@ -257,8 +257,9 @@
     assert found.phase == LOST
     lost = ReturnDecision.of(found, LOST_REASON)
     assert lost.holds() and not idle.holds()
+    found.cordoned = True
     led.on_report(report("m1", 1, session=2), LEASE_S + 2.0)
-    assert found.phase == UP and not lost.holds()
+    assert found.phase == UP and not lost.holds() and not found.cordoned
     silent = ReturnDecision.of(found, SILENT_REASON)
     assert silent.holds()
     led.on_report(report("m1", 2, session=2), LEASE_S + 3.0)
