--- a/src/salthead/coordination/returns.py
+++ b/src/salthead/coordination/returns.py
@@ -103,7 +103,7 @@
     def holds(self) -> bool:
         """Whether it would be made again: a machine that was silent has come back otherwise.
 
-        A call waits for its turn among the calls that the cloud takes, and a cut may heal meanwhile.
+        A call waits for its turn among those that the cloud takes, and a cut may heal meanwhile.
         """
         machine = self.machine
         if machine.phase != self.phase:
