--- a/src/salthead/coordination/ledger.py
+++ b/src/salthead/coordination/ledger.py
@@ -12,11 +12,13 @@
 import logging
 import math
 from collections.abc import Callable, Iterable
-from typing import Any
+from dataclasses import dataclass, field
+from typing import TYPE_CHECKING, Any
 
 from salthead.coordination import reports, strays, waiting
 from salthead.coordination.estimates import Arrivals, Estimates, Promptness
 from salthead.coordination.lease import blind_s, surely_over
+from salthead.coordination.machine_room import MachineRoom
 from salthead.coordination.model import (
     BOOTING,
     EPS,
@@ -32,6 +34,8 @@
 )
 from salthead.coordination.pipelines import Pipelines
 from salthead.coordination.zone_hooks import ZoneHooks
+from salthead.evidence.gate import Action, Fact, permits
+from salthead.evidence.withheld import WithheldActions
 from salthead.protocol import names
 from salthead.protocol.interning import Interner
 from salthead.protocol.messages import (
@@ -41,8 +45,15 @@
 )
 from salthead.settings import Limits
 
+if TYPE_CHECKING:
+    from salthead.evidence.shared_silence import SharedSilence
+
 log = logging.getLogger("salthead.ledger")
 
+LEAD_LEASE, TOKEN_CURRENT = int(Fact.LEAD_LEASE), int(Fact.TOKEN_CURRENT)
+JOBS_KNOWN, FLEET_ACCOUNTED = int(Fact.JOBS_KNOWN), int(Fact.FLEET_ACCOUNTED)
+WORKER_LEASE_OVER = int(Fact.WORKER_LEASE_OVER)
+
 # An attempt is the term's token and a counter, so no two starts of any terms share one.
 ATTEMPT_BITS = 24
 # Ended jobs whose team is remembered, for stray tasks of theirs, and returned machines, for late
@@ -52,6 +63,27 @@
 KEPT_FLEETS = 2  # how many times the largest fleet of this term is remembered
 
 
+@dataclass
+class Line:
+    """Jobs with tasks that wait, in the order of the last pass: who is offered freed room."""
+
+    jobs: list[Job] = field(default_factory=list)
+    least_cpus: float = 0.0  # of the smallest task in line
+    choosy: bool = False  # whether a job was in line that fits on scarce types alone
+    long_since: float | None = None  # since when the fleet can't keep up with it
+
+
+@dataclass
+class LedgerEvents:
+    """What the ledger tells whoever acts on it."""
+
+    changed: Callable[[], None] = lambda: None
+    completed: Callable[[Job], None] = lambda job: None  # all tasks of the job are done
+    aborts_pending: Callable[[], None] = lambda: None
+    # Placement, called between what a report says and the starts that its answer carries.
+    room_freed: Callable[[Machine, float], None] = lambda machine, now: None
+
+
 class Ledger:
     """What one leader knows and has decided, for one term."""
 
@@ -84,20 +116,14 @@
         self.machine_types: dict[int, MachineType] = {}
         self.caps = [(team.cpus_max, team.gpus_max) for team in limits.teams]
         self.guarantees = [(team.cpus, team.gpus) for team in limits.teams]
-        # Machines that are up, by kind and by how many whole CPUs they have free. A pass looks
-        # at the rows with room alone, so that its cost does not grow with a full fleet.
-        self.free: dict[Kind, list[dict[Machine, None]]] = {}
-        self.kept: dict[Machine, None] = {}  # machines that are, or lately were, kept for a job
+        self.room = MachineRoom()
         # Types that are the only ones for some class of jobs, as seen in this term.
         self.scarce: set[int] = set()
-        self.choosy_wait = False  # whether such a job was in line at the last pass
         self.stops: list[Binding] = []  # wanted since they were last sent directly
         self.ranks = [0] * len(names.URGENCIES)  # tasks bound, by urgency
         self._silent: tuple[float, float] | None = None
-        # Jobs with tasks that wait, in the order of the last pass: who is offered freed room.
-        self.line: list[Job] = []
-        self.line_least = 0.0  # CPUs of the smallest task in line
-        self.long_line_since: float | None = None  # since when the fleet can't keep up with it
+        self._silent_kinds: dict[Kind, Vec] = {}
+        self.line = Line()
         self.usage = [[0.0, 0.0] for _ in limits.teams]
         self.rest_until = [0.0 for _ in limits.teams]  # until then no quota is kept for gangs
         self.jobs: dict[str, Job] = {}
@@ -121,13 +147,28 @@
         self.pending_aborts: dict[
             str, None
         ] = {}  # jobs whose outcome follows, and is to be written
-        self.on_change: Callable[[], None] = lambda: None
-        self.on_complete: Callable[[Job], None] = lambda job: None  # all of its tasks are done
-        self.on_pending_aborts: Callable[[], None] = lambda: None
-        # Placement, called between what a report says and the starts that its answer carries.
-        self.on_room: Callable[[Machine, float], None] = lambda machine, now: None
+        self.events = LedgerEvents()
         self.recently_gone: dict[str, float] = {}
         self.zone_hooks: ZoneHooks | None = None  # where the policy enables them
+        self.shared_silence: SharedSilence | None = None  # where the policy enables it
+        self.withheld = WithheldActions()
+        # A worker whose report is not answered turns to one of them.
+        self.other_controllers = limits.initial_size > 1
+        # Whether the lease on the lead is certain now; the term knows.
+        self.lead_certain: Callable[[], bool] = lambda: True
+
+    # -- evidence -----------------------------------------------------------------------
+
+    def facts(self) -> int:
+        """What is confirmed now of the lead, the jobs and the fleet, as bits of ``Fact``."""
+        held = LEAD_LEASE if self.lead_certain() else 0
+        if not self.deposed_by:
+            held |= TOKEN_CURRENT
+        if self.loaded:
+            held |= JOBS_KNOWN
+        if self.ready:
+            held |= FLEET_ACCOUNTED
+        return held
 
     # -- machine types and jobs ---------------------------------------------------------------
 
@@ -142,7 +183,7 @@
             for machine in self.machines.values():
                 if machine.machine_type == index:
                     machine.cap = cap
-                    self.reindex(machine)
+                    self.room.reindex(machine)
 
     def capacity(self, type_index: int) -> Vec:
         """CPUs, GPUs and memory of a machine of this type; nothing while the type is unknown."""
@@ -186,7 +227,7 @@
             self.scarce |= fitting
         job.choosy = fitting <= self.scarce
         waiting.join(self, job)
-        self.on_change()
+        self.events.changed()
         return job
 
     def fitting(self, job: Job) -> set[int]:
@@ -206,7 +247,7 @@
                 job.n_done += 1
                 job.saved.add(index)
         if job.complete:
-            self.on_complete(job)
+            self.events.completed(job)
 
     def mark_done(self, job: Job, index: int) -> None:
         """A report says that a task is done."""
@@ -218,8 +259,8 @@
                 job.n_done += 1
                 job.dirty.add(one)
         if job.complete:
-            self.on_complete(job)
-        self.on_change()
+            self.events.completed(job)
+        self.events.changed()
 
     def saved(self, job: Job, indices: Iterable[int]) -> None:
         """These done tasks are known to the state service."""
@@ -236,10 +277,10 @@
         if job.cancel_requested:
             return
         job.cancel_requested = True
-        self.unkeep(job.job_id)
+        self.room.unkeep(job.job_id)
         for binding in list(job.bindings.values()):
             self.want_stop(binding, 0.0)
-        self.on_change()
+        self.events.changed()
 
     def end_job(self, job: Job, phase: str, now: float) -> None:
         """The outcome is durable: stop what is left and forget the job once it is gone."""
@@ -250,7 +291,7 @@
             if phase == names.ABORTED:
                 self.want_stop(binding, 0.0)
         self._forget(job)
-        self.on_change()
+        self.events.changed()
 
     def _forget(self, job: Job) -> None:
         if job.over and not job.bindings and self.jobs.get(job.job_id) is job:
@@ -271,64 +312,20 @@
             used[n] += sign * need[n]
         if not machine.busy():
             machine.used = [0.0, 0.0, 0.0]
-        self.reindex(machine)
+        self.room.reindex(machine)
         if team >= 0:
             usage = self.usage[team]
             usage[0] = max(0.0, usage[0] + sign * need[0])
             usage[1] = max(0.0, usage[1] + sign * need[1])
 
-    def reindex(self, machine: Machine) -> None:
-        """Note how much is free on the machine now."""
-        whole = -1
-        if machine.phase == UP:
-            whole = max(0, int(machine.cap[0] - machine.used[0] + EPS))
-        if whole == machine.whole:
-            return
-        rows = self.free.setdefault(machine.kind, [])
-        if machine.whole >= 0:
-            del rows[machine.whole][machine]
-        if whole >= 0:
-            while len(rows) <= whole:
-                rows.append({})
-            rows[whole][machine] = None
-        machine.whole = whole
-
     def set_phase(self, machine: Machine, phase: str) -> None:
         """Change a machine's phase, and what is indexed by it."""
         machine.phase = phase
-        self.reindex(machine)
+        self.room.reindex(machine)
         if self.zone_hooks is not None:
             self.zone_hooks.phase_changed(machine)
-
-    def with_room(self, kinds: Iterable[Kind], need: Vec) -> Iterable[Machine]:
-        """Machines of these kinds that have room, in the index's own order."""
-        for kind in kinds:
-            for row in self.free[kind][int(need[0]) :]:
-                for machine in row:
-                    if machine.fits(need):
-                        yield machine
-
-    def keep(self, machine: Machine, job_id: str, until: float) -> None:
-        """Keep a machine for a job: placement hides it from the others."""
-        machine.held_for = job_id
-        machine.held_until = max(machine.held_until, until)
-        self.kept[machine] = None
-
-    def prune_kept(self, now: float) -> None:
-        """Forget machines that were kept for a job until now."""
-        for machine in [m for m in self.kept if now >= m.held_until]:
-            machine.held_for = ""
-            del self.kept[machine]
-
-    def unkeep(self, job_id: str) -> None:
-        """Keep no machine for a job any more."""
-        for machine in [m for m in self.kept if m.held_for == job_id]:
-            machine.held_for = ""
-            del self.kept[machine]
-
-    def kept_for(self, job_id: str, now: float) -> list[Machine]:
-        """Machines that are kept for a job now."""
-        return [m for m in self.kept if m.held_for == job_id and now < m.held_until]
+        if self.shared_silence is not None:
+            self.shared_silence.phase_changed(machine)
 
     def bind(self, job: Job, index: int, machine: Machine, attempt: int, now: float) -> Binding:
         """Bind a task to a machine, with its bookings."""
@@ -357,7 +354,7 @@
         else:
             job.give_back(binding.index)
         self._forget(job)
-        self.on_change()
+        self.events.changed()
 
     def move(self, binding: Binding, machine: Machine, now: float) -> None:
         """Bind a gang's member, of which nobody has been told, to another machine."""
@@ -455,36 +452,23 @@
         """The cloud confirmed the return: the machine and all on it are gone."""
         self.lose_tasks(machine, now, f"{machine.name} returned")
         self.set_phase(machine, GONE)
-        self.kept.pop(machine, None)
+        self.room.kept.pop(machine, None)
         self.machines.pop(machine.name, None)
         self.unrostered.pop(machine, None)
         self.recently_gone[machine.name] = now
         if len(self.recently_gone) > max(GONE_KEPT, KEPT_FLEETS * self.largest_fleet):
             self.recently_gone.pop(next(iter(self.recently_gone)))
-        self.on_change()
+        self.events.changed()
 
     def tick(self, now: float) -> None:
         """What time alone decides: leases that are surely over, and the end of a takeover."""
-        lease_s = self.limits.workers.lease_s
         waiting.revise_runs(self)
-        for machine in self.machines.values():
-            if machine.phase == UP and now > surely_over(
-                max(
-                    machine.answered, self.leases_from, self.kept_until.get(machine.zone, -math.inf)
-                ),
-                lease_s,
-            ):
-                # Whatever it still reports of this session is late news: a worker that
-                # goes on does so with the next session and no tasks.
-                log.info("machine %s lost: unheard for %.1f s", machine.name, now - machine.heard)
-                self.set_phase(machine, LOST)
-                machine.lost_at = now
-                machine.min_session = machine.session + 1
-                machine.first_answered_at = (
-                    math.inf
-                )  # it holds nothing any more, and may join if it heals
-                machine.joined = False
-                self.lose_tasks(machine, now, f"{machine.name} lost")
+        # Of a leader without its lease workers may be another one's by now: what it last heard
+        # says nothing of them. It had judged 135 machines lost that reported to the next leader.
+        if permits(Action.JUDGE_LOST, self.facts() | WORKER_LEASE_OVER):
+            for machine in self.machines.values():
+                if machine.phase == UP and now > self.worker_lease_over(machine):
+                    self._lose(machine, now)
         if self.loaded and not self.ready:
             self._silent = None
             if not self.unheard():
@@ -496,7 +480,24 @@
                     len(self.machines),
                     len(self.jobs),
                 )
-                self.on_change()
+                self.events.changed()
+
+    def worker_lease_over(self, machine: Machine) -> float:
+        """When the machine's worker has no tasks any more unless it is answered again."""
+        kept_until = self.kept_until.get(machine.zone, -math.inf)
+        answered = max(machine.answered, self.leases_from, kept_until)
+        return surely_over(answered, self.limits.workers.lease_s)
+
+    def _lose(self, machine: Machine, now: float) -> None:
+        # Whatever it still reports of this session is late news: a worker that
+        # goes on does so with the next session and no tasks.
+        log.info("machine %s lost: unheard for %.1f s", machine.name, now - machine.heard)
+        self.set_phase(machine, LOST)
+        machine.lost_at = now
+        machine.min_session = machine.session + 1
+        machine.first_answered_at = math.inf  # it holds nothing any more, and may join if it heals
+        machine.joined = False
+        self.lose_tasks(machine, now, f"{machine.name} lost")
 
     def keep_zone(self, area: str, until: float) -> bool:
         """Count no lease of a zone from before ``until``; False if its tasks may not live on.
@@ -534,13 +535,33 @@
         """Machines that may run anything an earlier leader started."""
         return [m for m in self.machines.values() if m.rostered and not m.joined and m.phase == UP]
 
+    def should_have_heard(self, now: float) -> bool:
+        """Whether machines that are well have had the time to find this leader."""
+        return now - self.took_over > 1.0 + self.limits.workers.report_s
+
     def silent(self) -> tuple[float, float]:
         """CPUs and GPUs of those, as of the last tick at the latest: they only become fewer."""
         if self._silent is None:
             unheard = self.unheard()
             self._silent = (sum(m.cap[0] for m in unheard), sum(m.cap[1] for m in unheard))
+            self._silent_kinds = {m.kind: m.cap for m in unheard}
         return self._silent
 
+    def only_on_heard(self, job: Job) -> bool:
+        """Whether no machine that may run what an earlier leader started could run this job's.
+
+        An earlier leader started tasks only on machines of the roster that their job allows and
+        that they fit on.
+        """
+        self.silent()
+        return not any(
+            (job.spec.spot or not spot)
+            and (job.allowed_types is None or type_index in job.allowed_types)
+            and (job.zone is None or job.zone == zone)
+            and all(c + EPS >= n for c, n in zip(cap, job.need, strict=True))
+            for (type_index, zone, spot), cap in self._silent_kinds.items()
+        )
+
     def hearing(self, now: float) -> tuple[int, int]:
         """How many machines that are up were heard lately, and how many were not."""
         up = [m for m in self.machines.values() if m.phase == UP]
@@ -549,12 +570,16 @@
         return heard, len(up) - heard
 
     def may_place(self, job: Job) -> bool:
-        """Whether all tasks of the job are accounted for.
+        """Whether all tasks of the job are accounted for: the fact ``TASK_NOWHERE``.
 
         Until every machine of the roster is, a task that no report shows may be on one that is
         silent. A job accepted after this term began can't be: no earlier leader could start it.
         """
-        return self.ready or (self.loaded and job.fresh)
+        if self.ready:
+            return True
+        return self.loaded and (
+            job.fresh or (self.shared_silence is not None and self.only_on_heard(job))
+        )
 
     def on_report(
         self,
--- a/src/salthead/outcomes.py
+++ b/src/salthead/leader/outcomes.py
@@ -21,7 +21,7 @@
 from salthead.transport.client import Unanswered
 
 if TYPE_CHECKING:
-    from salthead.term import Term
+    from salthead.leader.term import Term
 
 log = logging.getLogger("salthead.outcomes")
 
@@ -170,7 +170,7 @@
         """The outcome is durable, and may be told."""
         job_id = job.job_id
         self.node.final(job_id, phase, job.spec.task_count, at)
-        self.term.tidy(job)
+        self.term.pages.tidy(job)
         self.ledger.end_job(job, phase, self.term.now())
         self.due.pop(job_id, None)
         self.in_doubt.pop(job_id, None)
--- /dev/null
+++ b/src/salthead/leader/peer_calls.py
@@ -0,0 +1,69 @@
+"""What a node asks the other controllers, as typed answers."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import Any, NamedTuple
+
+import msgspec
+
+from salthead.protocol import names
+from salthead.transport.client import Caller, Unanswered
+
+LEADS_FIELD = "leads"
+REACH_S = 1.0  # for an answer to a question that is answered from memory
+
+
+class ReportSeen(NamedTuple):
+    """A worker's report that came to a peer."""
+
+    worker: str
+    session: int
+    sequence: int
+    token: int  # that the worker had accepted
+
+
+@dataclass(frozen=True, slots=True)
+class PeerReach:
+    """What a peer says of its own links."""
+
+    redirected: int  # workers that came to it lately although it does not lead
+    state_service_s: float | None  # since when the state service has not answered it
+    seen: list[ReportSeen]  # reports that came to it lately although it does not lead
+
+
+async def ask_reach(peer: Caller, leads: bool = False) -> PeerReach | None:
+    """Ask a peer what it reaches; None when it does not answer.
+
+    ``leads``: by a leader that wants to know which reports came there instead. The version in
+    production ignores that, and names none.
+    """
+    body = {LEADS_FIELD: True} if leads else None
+    try:
+        answer = await peer.call("POST", names.PEER_REDIRECTED, body, timeout=REACH_S)
+    except Unanswered:
+        return None
+    if answer.status != 200:
+        return None
+    redirected, served = answer.body.get("knocks"), answer.body.get("served_s")
+    return PeerReach(
+        redirected if type(redirected) is int else 0,
+        served if type(served) is float else None,
+        _reports_seen(answer.body.get("seen")),
+    )
+
+
+def _reports_seen(rows: Any) -> list[ReportSeen]:
+    try:
+        return msgspec.convert(rows or [], list[ReportSeen])
+    except msgspec.ValidationError:
+        return []
+
+
+async def ask_promise(peer: Caller, member: str, timeout: float) -> bool:
+    """Whether a peer promises ``member``, which leads, not to stand for a while."""
+    try:
+        answer = await peer.call("POST", names.PEER_PROMISE, {"member": member}, timeout=timeout)
+    except Unanswered:
+        return False
+    return answer.status == 200 and answer.body.get("promise") is True
--- a/src/salthead/term.py
+++ b/src/salthead/leader/term.py
@@ -7,37 +7,35 @@
 import logging
 import time
 from collections.abc import Coroutine
-from itertools import islice
 from typing import TYPE_CHECKING, Any
 
 from salthead.bookkeeping import records
-from salthead.bookkeeping.pages import Pages
 from salthead.bookkeeping.store import (
     TROUBLES,
-    Compacted,
     Conflict,
     Refused,
-    drop,
-    put,
 )
 from salthead.coordination import gangs, placement, preemption, strays
 from salthead.coordination.lease import LeaseClock
 from salthead.coordination.ledger import Ledger
-from salthead.coordination.model import UP, Job, Machine
-from salthead.coordination.zone_leases import counted_until
-from salthead.job_records import JobRecords
-from salthead.lead import Lead
-from salthead.outcomes import Outcomes
+from salthead.coordination.model import Machine
+from salthead.evidence.gate import Action, Fact, lacking
+from salthead.leader.job_records import JobRecords
+from salthead.leader.lead import Lead
+from salthead.leader.outcomes import Outcomes
+from salthead.leader.rental import REST_FACTOR, Rental
+from salthead.leader.saved_pages import SavedPages
+from salthead.leader.views import Views
+from salthead.leader.worker_calls import WorkerCalls
+from salthead.leader.zone_permissions import ZonePermissions
 from salthead.protocol import names
 from salthead.protocol.messages import Report
-from salthead.rental import REST_FACTOR, Rental
 from salthead.transport.client import Unanswered
-from salthead.views import Views
-from salthead.worker_calls import WorkerCalls
 
 if TYPE_CHECKING:
-    from salthead.service import Node
-    from salthead.zone_loop import ZoneLoop
+    from salthead.leader.link_loop import LinkLoop
+    from salthead.leader.zone_loop import ZoneLoop
+    from salthead.node.node import Node
 
 log = logging.getLogger("salthead.term")
 
@@ -47,9 +45,8 @@
 # A look at each machine, for what no report brings: a fifth of the processor time of a leader of
 # 570 machines went into doing that with each pass.
 LOOK_GAP_S = 0.5
-# Tasks of an unfinished job are saved at most this often; their ends are kept by the worker.
-PART_GAP_S = 2.0
-BATCH_KB = 56.0  # of a transaction's 64 KiB
+# Placement itself looks only at tasks that no machine can be running (``Ledger.may_place``).
+TASK_NOWHERE = int(Fact.TASK_NOWHERE)
 
 
 class Deposed(Exception):
@@ -71,50 +68,61 @@
         self.store = node.store
         self.limits = node.limits
         self.kept = node.kept
-        self.stretches = records.Stretches(node.limits.state.value_kb, node.kept.value_kb)
         self.now = node.now
         self.token = token
         self.stamp = stamp
         self.tether = tether
         self.clock = clock
         self.ledger = Ledger(node.limits, token, node.now(), time.time())
-        self.ledger.on_change = self.wake
+        self.ledger.events.changed = self.wake
+        self.ledger.lead_certain = self.valid
         self.outcomes = Outcomes(self)
-        self.ledger.on_complete = self.outcomes.want
-        self.ledger.on_pending_aborts = self.outcomes.wanted.set
-        self.ledger.on_room = self.offer
+        self.ledger.events.completed = self.outcomes.want
+        self.ledger.events.aborts_pending = self.outcomes.wanted.set
+        self.ledger.events.room_freed = self.offer
         self.ledger.set_machine_types(node.machine_types.values())
         self.changed = asyncio.Event()
-        self.parts, self.roster = self.new_pages()
-        self.roster_at = -1e9
+        self.pages = SavedPages(self)
         self.background: set[asyncio.Task[None]] = set()
         self.starved: set[str] = set()  # jobs that found no machine at the last pass
-        self.leftovers: dict[str, str] = {}  # keys that continue records of jobs that are over
         self.job_records = JobRecords(self)
         self.rental = Rental(self)
         self.lead = Lead(self)
         self.worker_calls = WorkerCalls(self)
+        self.zone_permissions = ZonePermissions(self)
         self.views = Views(self)
         self.zone_loop = self._zone_loop()
+        self.link_loop = self._link_loop()
 
     def _zone_loop(self) -> ZoneLoop | None:
         policy = self.node.policy.zone_recovery
         if policy is None or not policy.enabled:
             return None
         # Here, so that its libraries are loaded only where the policy asks for them.
-        from salthead.zone_loop import ZoneLoop
+        from salthead.leader.zone_loop import ZoneLoop
 
         return ZoneLoop(self, policy, self.node.policy.networks)
 
-    def new_pages(self) -> tuple[Pages, Pages]:
-        """Empty pages of done tasks and of the roster."""
-        kb = self.kept.value_kb
-        return Pages(records.PARTS, kb), Pages(records.ROSTER, kb)
+    def _link_loop(self) -> LinkLoop | None:
+        policy = self.node.policy.partial_cuts
+        if policy is None or not policy.enabled:
+            return None
+        # Here, as above.
+        from salthead.leader.link_loop import LinkLoop
+
+        return LinkLoop(self, policy, self.node.policy.networks)
 
     def valid(self) -> bool:
         """Whether this term may act now."""
         return self.clock.valid(self.now())
 
+    def permits(self, action: Action, more: int = 0) -> bool:
+        """Whether an action is permitted now, by what is confirmed here and ``more`` facts."""
+        missing = lacking(action, self.ledger.facts() | more)
+        if missing:
+            self.ledger.withheld.note(action, missing, self.now())
+        return not missing
+
     def wake(self) -> None:
         """Something has changed that decisions depend on."""
         self.changed.set()
@@ -128,6 +136,7 @@
                 self.work_loop(),
                 self.lead.promise_loop(),
                 self.lead.resign_loop(),
+                self.lead.show_loop(),
             )
         ]
         try:
@@ -157,16 +166,20 @@
             self.job_records.await_loop(),
             self.decide_loop(),
             self.outcomes.loop(),
-            self.save_loop(),
-            self.roster_loop(),
+            self.pages.save_loop(),
+            self.pages.roster_loop(),
             self.rental.list_loop(),
             self.rental.fleet_loop(),
             self.unknown_jobs_loop(),
             self.worker_calls.unresponsive_loop(),
-            self.keep_loop(),
+            self.zone_permissions.loop(),
+            self.zone_permissions.forget_loop(),
         ]
         if self.zone_loop is not None:
             loops.append(self.zone_loop.loop())
+        if self.link_loop is not None:
+            loops.append(self.link_loop.loop())
+            loops.append(self.worker_calls.reach_loop())
         async with asyncio.TaskGroup() as group:
             for loop in loops:
                 group.create_task(loop)
@@ -193,36 +206,6 @@
 
     # -- loading and following jobs -----------------------------------------------------
 
-    async def keep_loop(self) -> None:
-        """Nodes that ask to answer their zone's workers for this leader, behind a cut."""
-        since = self.job_records.since
-        while True:
-            try:
-                events, since = await self.store.changes(records.KEEP, since, 10.0)
-                for event in events:
-                    value = event.get("value")
-                    if "set" in event and type(value) is dict and value.get("token") == self.token:
-                        await self.allow(event["set"].removeprefix(records.KEEP), value)
-            except Compacted:
-                since = self.job_records.since
-                await self.node.rest(0.5)
-            except (Conflict, *TROUBLES) as error:
-                self.node.note("keep", error)
-                await self.node.rest(0.5)
-
-    async def allow(self, member: str, value: dict[str, Any]) -> None:
-        """Let a node behind a cut answer its zone's workers for a while."""
-        if not self.ledger.ready:
-            return  # a zone that is kept would hold up the takeover for as long as the cut
-        # Counted before it is allowed, so that whatever becomes of the write errs late.
-        until = counted_until(self.now(), self.clock.ttl)
-        if self.ledger.keep_zone(str(value.get("area")), until):
-            await self.txn(
-                {},
-                [put(records.KEPT + member, {"token": self.token, "nonce": value.get("nonce")})],
-                urgent=True,
-            )
-
     async def unknown_jobs_loop(self) -> None:
         """Stray tasks of jobs that are over: whose quota do they use?"""
         while True:
@@ -256,25 +239,24 @@
                 looked = now
                 self.look(now)
             self.decide(now)
-            if self.valid():
-                self.worker_calls.send_stops()
+            self.worker_calls.send_stops()
             await asyncio.sleep(max(DECIDE_GAP_S, REST_FACTOR * (self.now() - now)))
 
     def offer(self, machine: Machine, now: float) -> None:
         """Offer room that a report has freed to those in line."""
-        if self.valid():
+        if self.permits(Action.PLACE, TASK_NOWHERE):
             placement.offer(self.ledger, machine, self.node.rng, now)
 
     def look(self, now: float) -> None:
         """What time alone changes, machine by machine."""
         self.ledger.tick(now)
-        if self.valid():
+        if self.permits(Action.PLACE, TASK_NOWHERE):
             placement.redraw(self.ledger, self.node.rng, now)
             preemption.drain(self.ledger, now)
 
     def decide(self, now: float) -> None:
         """One pass of placement, and what follows for those that found no machine."""
-        if self.valid():
+        if self.permits(Action.PLACE, TASK_NOWHERE):
             starved = placement.place(self.ledger, self.node.rng, now)
             before, self.starved = self.starved, {job.job_id for job in starved}
             if not self.starved <= before:
@@ -284,14 +266,6 @@
 
     # -- outcomes -----------------------------------------------------------------------
 
-    def tidy(self, job: Job) -> None:
-        """What else is kept of a job that is over goes, when there is time for it."""
-        for name in self.stretches.names(job.job_id, job.spec.task_count):
-            self.parts.drop(name)
-        self.leftovers |= {
-            records.awaits_key(job.job_id, n): job.job_id for n in range(job.spec.more)
-        }
-
     async def cancel(self, job_id: str) -> dict[str, Any] | None:
         """Cancel a job; what its user is told, or None if there is no such job."""
         job = self.ledger.jobs.get(job_id) if self.ledger.loaded else None
@@ -311,106 +285,13 @@
         if not job.over and not job.dependency_cancelled:
             await self.outcomes.cancel(job)
         # What follows from a durable outcome may be told before it is written itself.
+        durable = Fact.OUTCOME_DURABLE if job.over or job.dependency_cancelled else Fact(0)
+        if not self.permits(Action.CONFIRM_CANCELLATION, durable):
+            raise Unanswered("cancel in doubt")
         return {"uid": job_id, "phase": job.over or names.ABORTED}
 
-    async def save_loop(self) -> None:
-        """Done tasks of jobs that go on; outcomes do not wait for these."""
-        while True:
-            await self.node.rest(PART_GAP_S)
-            try:
-                await self.clear_leftovers()
-                await self.save_parts()
-            except (Conflict, *TROUBLES) as error:
-                self.node.note("save", error)
-                await self.node.rest(0.5)
-
-    async def save_parts(self) -> None:
-        """Write the done tasks of jobs that go on."""
-        covered: list[tuple[Job, list[int]]] = []
-        for job in self.ledger.live.values():
-            if job.over or not job.dirty:
-                continue
-            covered.append((job, list(job.dirty)))
-            self.job_records.set_parts(job, job.dirty)
-        while self.parts.dirty:
-            await self.write_pages(self.parts)
-        for job, done in covered:
-            self.ledger.saved(job, done)
-
-    async def clear_leftovers(self) -> None:
-        """Drop what continued the records of jobs that are over."""
-        while self.leftovers:
-            keys = list(islice(self.leftovers, self.kept.txn_ops))
-            # On condition that there is no such job: it may have been accepted since the list was
-            # read, or its record may have come late.
-            with contextlib.suppress(Conflict):
-                await self.txn(
-                    {records.job_key(self.leftovers[key]): 0 for key in keys},
-                    [drop(key) for key in keys],
-                    bulk=True,
-                )
-            for key in keys:
-                del self.leftovers[key]
-
-    async def write_pages(self, pages: Pages) -> dict[int, tuple[int, dict[str, Any]]]:
-        """One transaction of what the service lacks of these pages."""
-        batch = pages.batch(self.kept.txn_ops, BATCH_KB)
-        if batch:
-            try:
-                epoch = await self.txn(
-                    {pages.key(page): pages.stamps.get(page, 0) for page in batch},
-                    [
-                        put(pages.key(page), content) if content else drop(pages.key(page))
-                        for page, (_, content) in batch.items()
-                    ],
-                    bulk=True,
-                )
-            except Conflict:
-                # An earlier try took effect after all; what it wrote is replaced.
-                for page in batch:
-                    row = await self.store.get(pages.key(page))
-                    pages.stamps[page] = row[1] if row is not None else 0
-                raise
-            pages.written(batch, epoch)
-        return batch
-
     # -- machines -----------------------------------------------------------------------
 
-    async def roster_loop(self) -> None:
-        """A machine is in the roster, durably, before the first start is sent to it."""
-        while True:
-            ledger = self.ledger
-            for machine in ledger.unrostered:
-                if machine.phase == UP or machine.seen:
-                    self.roster.set(
-                        machine.name,
-                        [
-                            ledger.type_names[machine.machine_type],
-                            ledger.zones[machine.zone],
-                            machine.spot,
-                            machine.endpoint,
-                        ],
-                    )
-            # Those that are gone wait for the next one to come, or for a while.
-            fresh = any(
-                self.roster.where.get(machine.name) in self.roster.dirty
-                for machine in ledger.unrostered
-            )
-            if fresh or (self.roster.dirty and self.now() >= self.roster_at):
-                try:
-                    batch = await self.write_pages(self.roster)
-                    self.roster_at = self.now() + PART_GAP_S
-                    for _, content in batch.values():
-                        for name in content:
-                            found = ledger.machines.get(name)
-                            if found is not None and not found.rostered:
-                                ledger.set_rostered(found)
-                                found.freed = True
-                    self.wake()
-                except (Conflict, *TROUBLES) as error:
-                    self.node.note("roster", error)
-            await self.node.rest(0.1)
-
     def spawn(self, work: Coroutine[Any, Any, None]) -> None:
         """Run something beside the loops until it is done or the term ends."""
         task = asyncio.create_task(work)
--- a/src/salthead/transport/handlers.py
+++ b/src/salthead/node/handlers.py
@@ -9,6 +9,9 @@
 from salthead import metrics
 from salthead.bookkeeping.store import Conflict, NoLease, Refused
 from salthead.errors import Later, Rejected
+from salthead.leader.peer_calls import LEADS_FIELD
+from salthead.leader.term import Term
+from salthead.node.node import Node
 from salthead.protocol import names
 from salthead.protocol.messages import (
     JOB_ID,
@@ -17,8 +20,6 @@
     decode_report,
     decode_submission,
 )
-from salthead.service import Node
-from salthead.term import Term
 from salthead.transport.client import Unanswered
 from salthead.transport.http import PrefixRoutes, Reply, Request, Route, Router
 
@@ -197,7 +198,11 @@
 
     def redirected(self, request: Request) -> Reply:
         """How many workers came here although another node leads."""
-        return Reply(200, self.node.knocks_body())
+        try:
+            asked = decode_map(request.body) if request.body else {}
+        except Malformed as error:
+            return _error(400, error)
+        return Reply(200, self.node.knocks_body(asked.get(LEADS_FIELD) is True))
 
     def overview(self, request: Request) -> Reply:
         """The operators' view, forwarded to the leader."""
--- a/src/salthead/zones/recovery.py
+++ b/src/salthead/zones/recovery.py
@@ -11,9 +11,9 @@
 from salthead.coordination import placement
 from salthead.coordination.ledger import Ledger
 from salthead.coordination.model import BOOTING, GONE, LOST, UP, Binding, Job, Machine
+from salthead.evidence.machine_sets import MachineSets
 from salthead.policy import ZonePolicy
 from salthead.zones import evacuation, records
-from salthead.zones.machine_sets import MachineSets
 from salthead.zones.slow_start import Progress, SlowStart
 from salthead.zones.start_times import StartTimes
 from salthead.zones.state import Evidence, ZonePhase, ZoneState
@@ -179,7 +179,7 @@
         else:
             self.returns.pop(zone, None)
         self._withhold(zone)
-        self.ledger.on_change()
+        self.ledger.events.changed()
 
     def _displace_earlier_jobs(self, zone: int, now: float) -> None:
         """What ran on machines that never reported to this leader is not known, so that all jobs
@@ -198,7 +198,7 @@
                 return
             name = self.ledger.zones[zone]
             log.info("zone %s: %.0f%% of its machines get new work", name, 100.0 * current.share)
-            self.ledger.on_change()
+            self.ledger.events.changed()
         current.choose(self.sets.heard_in(zone))
         self._withhold(zone)
 
--- a/tests/standins.py
+++ b/tests/standins.py
@@ -21,9 +21,9 @@
 import production
 from helpers import FLAVORS, LIMITS, given, settings
 from salthead.errors import Rejected
+from salthead.node.node import Node
 from salthead.policy import NO_POLICY, Policy
 from salthead.protocol.messages import Malformed, Submission, encode
-from salthead.service import Node
 from salthead.transport.client import Answer, Unanswered
 
 
@@ -241,6 +241,10 @@
                     ],
                 },
             )
+        return self.hire(body)
+
+    def hire(self, body: Any) -> Answer:
+        """Rent machines; the same request again rents nothing."""
         if body["hire"] not in self.hired:
             names = []
             for _ in range(body["how_many"]):
@@ -632,7 +636,8 @@
             raise Unanswered("refused")
         version = self.versions[name]
         if path == "/peer/knocks":
-            return Answer(200, node.knocks_body())
+            known = version is production.THIS
+            return Answer(200, node.knocks_body(*([body["leads"]] if known and body else [])))
         if path == "/peer/submit":
             try:
                 status, found = await node.submit(
--- a/tests/test_large_fleet.py
+++ b/tests/test_large_fleet.py
@@ -17,10 +17,10 @@
 from salthead.coordination import ledger as ledgers
 from salthead.coordination.ledger import Ledger
 from salthead.coordination.model import UP
-from salthead.rental import LIST_GAP_S, Rental
-from salthead.service import Node
-from salthead.transport.handlers import ClientHandlers
-from salthead.transport.server import listen
+from salthead.leader.rental import LIST_GAP_S, Rental
+from salthead.node.handlers import ClientHandlers
+from salthead.node.node import Node
+from salthead.node.server import listen
 from standins import World, run
 from test_scale import calls, full, shown
 
@@ -182,10 +182,10 @@
     node.leader = "n0"
     for n in range(LARGE):
         node.redirect(f"m{n}")
-    assert node.redirected_count() == LARGE
-    assert calls(node.redirected_count) < 10
+    assert node.reach.redirected_count() == LARGE
+    assert calls(node.reach.redirected_count) < 10
     node.now = lambda: 60.0
-    assert node.redirected_count() == 0
+    assert node.reach.redirected_count() == 0
 
 
 def test_a_node_behind_a_cut_does_not_walk_over_all_workers_at_each_report() -> None:
--- a/tests/test_long_day.py
+++ b/tests/test_long_day.py
@@ -9,9 +9,9 @@
 import pytest
 
 from helpers import spec
-from salthead import service
 from salthead.coordination import ledger, zone_leases
 from salthead.coordination.pipelines import Pipelines
+from salthead.node import node as node_module
 from standins import World, run
 
 PERIODS = 3
@@ -23,7 +23,12 @@
 
 def table_sizes(node: Any) -> dict[str, int]:
     """How much is in each table of a node, its term, and what the term is made of."""
-    parts = {"node": node, "zone lease": node.zone_lease, "store": node.store}
+    parts = {
+        "node": node,
+        "zone lease": node.zone_keeper.lease,
+        "reach": node.reach,
+        "store": node.store,
+    }
     if node.term is not None:
         term = node.term
         parts |= {
@@ -35,8 +40,10 @@
             "job records": term.job_records,
             "rental": term.rental,
             "views": term.views,
-            "done pages": term.parts,
-            "roster": term.roster,
+            "done pages": term.pages.parts,
+            "roster": term.pages.roster,
+            "pages": term.pages,
+            "withheld": term.ledger.withheld,
         }
     return {
         f"{part}.{name}": len(value)
@@ -64,7 +71,7 @@
 def test_jobs_leave_no_more_behind_than_the_caches_hold(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
-    monkeypatch.setattr(service, "FINALS_KEPT", CACHE)
+    monkeypatch.setattr(node_module, "FINALS_KEPT", CACHE)
     monkeypatch.setattr(Pipelines, "ENDED_KEPT", CACHE)
     monkeypatch.setattr(ledger, "TEAMS_KEPT", CACHE)
     monkeypatch.setattr(ledger, "GONE_KEPT", CACHE)
