--- a/tests/local_setup.py
+++ b/tests/local_setup.py
@@ -9,6 +9,8 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
+import random
 import signal
 import socket
 import subprocess
@@ -30,11 +32,22 @@
 from salthead.transport.client import Caller  # noqa: E402
 from standins import Worker, World  # noqa: E402
 
+LOWEST_PORT = 15000
+PORT_RANGE = Path("/proc/sys/net/ipv4/ip_local_port_range")  # of connections that are opened
+
 
 def free_port() -> int:
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        return int(probe.getsockname()[1])
+    """A port for a process that is started later.
+
+    Below those that the system gives to connections: one of these, of a proxy or of another run
+    beside this one, took the port that had been found free, and the controller could not listen.
+    """
+    highest = int(PORT_RANGE.read_text().split()[0]) if PORT_RANGE.exists() else 32768
+    while True:
+        port = random.SystemRandom().randrange(LOWEST_PORT, highest)
+        with socket.socket() as probe, contextlib.suppress(OSError):
+            probe.bind(("127.0.0.1", port))
+            return port
 
 
 class LocalWorld(World):
