Tests that fail by the incident: machine types unknown at a takeover, and a submission's late answer

The late answer starts a job that was recorded as done. The stand-ins now call that ran_twice as well.

--- a/tests/standins.py
+++ b/tests/standins.py
@@ -1004,6 +1004,9 @@
             self.broken.append(f"too_early {task_id}: {early} not done")
         if any(other == task_id for _, other in there):
             self.broken.append(f"ran_twice {task_id}")
+        outcome = self.state.keys.get(f"over/{job_id}")
+        if outcome is not None and outcome[0]["phase"] == "done":
+            self.broken.append(f"ran_twice {task_id}: its job was recorded as done")
         if (
             (worker.spot and not spec.spot)
             or (spec.machine_types is not None and worker.machine_type not in spec.machine_types)
--- /dev/null
+++ b/tests/test_stale_knowledge.py
@@ -0,0 +1,136 @@
+"""A new leader acts on nothing that it does not know yet, or that was true before its term.
+
+``docs/incidents/quota-and-ran-twice.md`` tells what happened.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import random
+from typing import Any
+
+import pytest
+
+from cut_world import CUTS_ON, CutWorld
+from helpers import FLAVORS, given, limits, report, spec
+from salthead.coordination import placement
+from salthead.coordination.ledger import Ledger
+from salthead.evidence.shared_silence import SharedSilence
+from salthead.protocol.messages import decode_submission, encode
+from standins import run
+
+CUT_POLICY = CUTS_ON.partial_cuts
+RNG = random.Random(1)
+# The cloud does not list one of the types any more.
+ROSTER = (("silent", "small"), ("retired", "not-listed"), ("heard", "big"))
+
+
+def takeover_without_types() -> Ledger:
+    """A ledger that has read the roster, and not the machine types."""
+    made = Ledger(limits(), 7, 0.0)
+    assert CUT_POLICY is not None
+    made.shared_silence = SharedSilence(made, CUT_POLICY, 0.0)
+    made.events.room_freed = lambda found, now: placement.offer(made, found, RNG, now)
+    for name, machine_type in ROSTER:
+        made.add_machine(name, machine_type, "north", False, 0.0, rostered=True)
+    made.loaded = True
+    return made
+
+
+async def leader_back_before_it_knows_types(seed: int) -> CutWorld:
+    """The leader ends and is back at once; the cloud's answers are late, some machines silent."""
+    world = CutWorld(seed, most=10)
+    types_s = 0.2 + 0.15 * seed
+    # Of thousands of machines a new leader has called few by then.
+    world.late = lambda source, path: {"/flavors": types_s, "/do": 3.0}.get(path, 0.0)
+    await asyncio.sleep(2.0)
+    # Red is at its limit of 24 CPUs throughout, and blue leaves room beside it.
+    await world.submit(spec("req-1", team="red", task_count=12, vcpus=4.0, estimated_run_s=90.0))
+    await world.submit(spec("req-2", task_count=32, vcpus=2.0, estimated_run_s=12.0))
+    while world.told["req-2"] != "done":
+        await asyncio.sleep(0.5)
+        await world.poll("req-2")
+    red = {worker.name for worker, task in world.on_machines() if task.startswith("req-1/")}
+    hung = [world.cloud.hosts[name] for name in sorted(red)[: len(red) // 2]]
+    for worker in hung:
+        worker.hung = True
+    leader = world.leader()
+    assert leader is not None and hung
+    await world.crash(leader.settings.member)
+    await asyncio.sleep(0.1)
+    world.boot(leader.settings.member)
+    await asyncio.sleep(4.0)
+    for worker in hung:
+        worker.hung = False
+    await world.until_over()
+    return world
+
+
+class TestMachineTypesUnknown:
+    @pytest.mark.parametrize("silent", [("silent", "retired"), ("retired",)], ids=len)
+    def test_what_a_machine_of_unknown_type_may_run_is_started_nowhere_else(
+        self,
+        silent: tuple[str, ...],
+    ) -> None:
+        led = takeover_without_types()
+        old = led.add_job(spec("req-1", task_count=2), 0.0)
+        new = led.add_job(spec("req-2", team="red", task_count=8), 0.0, fresh=True)
+        assert old is not None and new is not None
+        led.tick(0.1)
+        placement.place(led, RNG, 0.1)
+        led.set_machine_types(FLAVORS)
+        for at in (0.2, 6.0):  # no tick has come since at the first of these
+            for sequence, (name, machine_type) in enumerate(ROSTER, int(at) + 1):
+                if name not in silent:
+                    led.on_report(report(name, sequence, machine_type=machine_type), at)
+            placement.place(led, RNG, at)
+            assert not old.bindings, (
+                "an earlier leader may have started it where nobody has reported"
+            )
+            assert not new.bindings, "the silent may run any number of the team's tasks"
+        led.tick(12.6)  # the leases of the silent machines are over
+        placement.place(led, RNG, 12.6)
+        assert len(old.bindings) == 2 and len(new.bindings) == 8
+
+    @pytest.mark.parametrize("seed", range(6))
+    def test_a_leader_that_is_back_before_it_knows_the_machine_types(self, seed: int) -> None:
+        world = run(lambda: leader_back_before_it_knows_types(seed))
+        assert world.broken + world.history.broken + world.answers.broken == []
+
+
+async def late_answer_to_a_submission() -> CutWorld:
+    """The answer to a write arrives when its job has run and ended, at the node that leads now."""
+    world = CutWorld(1)
+    await asyncio.sleep(2.0)
+    await world.submit(spec("req-1", task_count=2, estimated_run_s=90.0))
+    while not world.begun:
+        await asyncio.sleep(0.5)
+    leader = world.leader()
+    assert leader is not None
+    node, other = [one for one in world.nodes.values() if one is not None and one is not leader]
+    await world.crash(other.settings.member)
+    arrives, write = asyncio.Event(), node.store.txn
+
+    async def answered_late(when: dict[str, int], apply: list[Any], **more: Any) -> int:
+        epoch = await write(when, apply, **more)
+        if apply[0].get("set") == "job/req-2":
+            await arrives.wait()
+        return epoch
+
+    node.store.txn = answered_late  # type: ignore[method-assign]
+    late = spec("req-2", task_count=1, estimated_run_s=1.0)
+    world.specs["req-2"] = late
+    submitting = asyncio.create_task(node.submit(decode_submission(encode(given(late)))))
+    while "over/req-2" not in world.state.keys:
+        await asyncio.sleep(0.2)
+    await world.crash(leader.settings.member)
+    while node.leading() is None or not node.leading().ledger.ready:
+        await asyncio.sleep(0.1)
+    arrives.set()
+    await submitting
+    await asyncio.sleep(10.0)
+    return world
+
+
+def test_a_job_that_ended_is_not_started_again_by_a_late_answer() -> None:
+    assert run(late_answer_to_a_submission).broken == []
