--- a/src/salthead/coordination/ledger.py
+++ b/src/salthead/coordination/ledger.py
@@ -15,6 +15,7 @@
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING, Any
 
+from salthead import metrics
 from salthead.coordination import reports, strays, waiting
 from salthead.coordination.estimates import Arrivals, Estimates, Promptness
 from salthead.coordination.lease import blind_s, surely_over
@@ -28,12 +29,14 @@
     UP,
     Binding,
     Job,
-    Kind,
     Machine,
+    Proof,
     Vec,
 )
 from salthead.coordination.pipelines import Pipelines
+from salthead.coordination.takeover import Takeover
 from salthead.coordination.zone_hooks import ZoneHooks
+from salthead.event_log import event
 from salthead.evidence.gate import Action, Fact, permits
 from salthead.evidence.withheld import WithheldActions
 from salthead.protocol import names
@@ -121,10 +124,9 @@
         self.scarce: set[int] = set()
         self.stops: list[Binding] = []  # wanted since they were last sent directly
         self.ranks = [0] * len(names.URGENCIES)  # tasks bound, by urgency
-        self._silent: tuple[float, float] | None = None
-        self._silent_kinds: dict[Kind, Vec] = {}
         self.line = Line()
         self.usage = [[0.0, 0.0] for _ in limits.teams]
+        self.limit_logged_at = [-math.inf for _ in limits.teams]
         self.rest_until = [0.0 for _ in limits.teams]  # until then no quota is kept for gangs
         self.jobs: dict[str, Job] = {}
         # Those that wait for no other job: what passes and plans look at.
@@ -142,6 +144,7 @@
         self.team_of: dict[str, tuple[int, Vec]] = {}
         self.stray_jobs: dict[str, int] = {}  # stray tasks by job: such a job starts nothing
         self.deposed_by = 0
+        self.takeover = Takeover(self)
         self.pipelines = Pipelines()
         self.factors: dict[str, float] = {}  # of estimates, as the pipelines' due times use them
         self.pending_aborts: dict[
@@ -337,10 +340,25 @@
         self.book(machine, job.need, job.team, 1.0)
         return binding
 
-    def release(self, binding: Binding, now: float, why: str) -> None:
+    def release(self, binding: Binding, now: float, proof: Proof, detail: object = "") -> None:
         """The task is certainly not on the machine any more."""
         job, machine = binding.job, binding.machine
         assert job is not None
+        event(
+            log,
+            "task_released",
+            logging.DEBUG if proof is Proof.EXITED else logging.INFO,
+            task=binding.task_id,
+            attempt=binding.attempt,
+            machine=machine.name,
+            session=machine.session,
+            sequence=machine.sequence,
+            proof=proof,
+            detail=detail,
+            start_sends=binding.start_sends,
+            token=self.token,
+        )
+        metrics.RELEASED.labels(proof).inc()
         machine.bindings.pop((job.job_id, binding.index), None)
         machine.unchanged = False
         job.bindings.pop(binding.index, None)
@@ -348,7 +366,7 @@
         self.book(machine, binding.need, binding.team, -1.0)
         if job.gang:
             if not job.complete and not job.failed:
-                self.fail_gang(job, now, why)
+                self.fail_gang(job, now, f"{binding.task_id} on {machine.name}: {proof} {detail}")
             if not job.bindings:
                 job.failed = False
         else:
@@ -439,18 +457,18 @@
         machine.rostered = True
         self.unrostered.pop(machine, None)
 
-    def lose_tasks(self, machine: Machine, now: float, why: str) -> None:
+    def lose_tasks(self, machine: Machine, now: float, proof: Proof) -> None:
         """All that was on a machine is certainly gone."""
         if self.zone_hooks is not None:
             self.zone_hooks.displaced(machine.bindings.values(), now)
         for binding in list(machine.bindings.values()):
-            self.release(binding, now, why)
+            self.release(binding, now, proof)
         for key in list(machine.strays):
             strays.drop(self, machine, key)
 
     def machine_gone(self, machine: Machine, now: float) -> None:
         """The cloud confirmed the return: the machine and all on it are gone."""
-        self.lose_tasks(machine, now, f"{machine.name} returned")
+        self.lose_tasks(machine, now, Proof.RETURNED)
         self.set_phase(machine, GONE)
         self.room.kept.pop(machine, None)
         self.machines.pop(machine.name, None)
@@ -469,18 +487,18 @@
             for machine in self.machines.values():
                 if machine.phase == UP and now > self.worker_lease_over(machine):
                     self._lose(machine, now)
-        if self.loaded and not self.ready:
-            self._silent = None
-            if not self.unheard():
-                self.ready = True
-                self._end_partial_gangs(now)
-                log.info(
-                    "takeover complete after %.2f s, %d machines, %d jobs",
-                    now - self.took_over,
-                    len(self.machines),
-                    len(self.jobs),
-                )
-                self.events.changed()
+        if self.loaded and not self.ready and self.takeover.look(now):
+            self.ready = True
+            self._end_partial_gangs(now)
+            event(
+                log,
+                "takeover_complete",
+                token=self.token,
+                after_s=now - self.took_over,
+                machines=len(self.machines),
+                jobs=len(self.jobs),
+            )
+            self.events.changed()
 
     def worker_lease_over(self, machine: Machine) -> float:
         """When the machine's worker has no tasks any more unless it is answered again."""
@@ -497,7 +515,7 @@
         machine.min_session = machine.session + 1
         machine.first_answered_at = math.inf  # it holds nothing any more, and may join if it heals
         machine.joined = False
-        self.lose_tasks(machine, now, f"{machine.name} lost")
+        self.lose_tasks(machine, now, Proof.LEASE_OVER)
 
     def keep_zone(self, area: str, until: float) -> bool:
         """Count no lease of a zone from before ``until``; False if its tasks may not live on.
@@ -531,37 +549,10 @@
 
     # -- reports ------------------------------------------------------------------------
 
-    def unheard(self) -> list[Machine]:
-        """Machines that may run anything an earlier leader started."""
-        return [m for m in self.machines.values() if m.rostered and not m.joined and m.phase == UP]
-
     def should_have_heard(self, now: float) -> bool:
         """Whether machines that are well have had the time to find this leader."""
         return now - self.took_over > 1.0 + self.limits.workers.report_s
 
-    def silent(self) -> tuple[float, float]:
-        """CPUs and GPUs of those, as of the last tick at the latest: they only become fewer."""
-        if self._silent is None:
-            unheard = self.unheard()
-            self._silent = (sum(m.cap[0] for m in unheard), sum(m.cap[1] for m in unheard))
-            self._silent_kinds = {m.kind: m.cap for m in unheard}
-        return self._silent
-
-    def only_on_heard(self, job: Job) -> bool:
-        """Whether no machine that may run what an earlier leader started could run this job's.
-
-        An earlier leader started tasks only on machines of the roster that their job allows and
-        that they fit on.
-        """
-        self.silent()
-        return not any(
-            (job.spec.spot or not spot)
-            and (job.allowed_types is None or type_index in job.allowed_types)
-            and (job.zone is None or job.zone == zone)
-            and all(c + EPS >= n for c, n in zip(cap, job.need, strict=True))
-            for (type_index, zone, spot), cap in self._silent_kinds.items()
-        )
-
     def hearing(self, now: float) -> tuple[int, int]:
         """How many machines that are up were heard lately, and how many were not."""
         up = [m for m in self.machines.values() if m.phase == UP]
@@ -578,7 +569,7 @@
         if self.ready:
             return True
         return self.loaded and (
-            job.fresh or (self.shared_silence is not None and self.only_on_heard(job))
+            job.fresh or (self.shared_silence is not None and not self.takeover.could_run(job))
         )
 
     def on_report(
--- a/src/salthead/coordination/model.py
+++ b/src/salthead/coordination/model.py
@@ -5,6 +5,7 @@
 import math
 from collections import OrderedDict, deque
 from dataclasses import dataclass, field
+from enum import StrEnum
 
 from salthead.evidence.links import WorkerLinks
 from salthead.protocol import names
@@ -18,6 +19,18 @@
 UP, BOOTING, LOST, GONE = "up", "booting", "lost", "gone"
 
 
+class Proof(StrEnum):
+    """Why a task is certainly not on its machine any more."""
+
+    EXITED = "exited"
+    NOT_SHOWN = "not_shown"  # it was shown, and a newer report does not show it
+    NEVER_STARTED = "never_started"  # a report newer than all answers that ordered it lacks it
+    NEVER_TOLD = "never_told"  # no answer carried its start
+    LEASE_OVER = "lease_over"
+    NEW_SESSION = "new_session"
+    RETURNED = "returned"  # the cloud confirmed that the machine is gone
+
+
 @dataclass(slots=True, eq=False)
 class Binding:
     """One task on one machine, or on its way there."""
--- a/src/salthead/coordination/placement.py
+++ b/src/salthead/coordination/placement.py
@@ -9,7 +9,8 @@
 
 from salthead.coordination import order
 from salthead.coordination.ledger import Ledger
-from salthead.coordination.model import EPS, UP, Job, Kind, Machine
+from salthead.coordination.model import EPS, UP, Job, Kind, Machine, Proof
+from salthead.event_log import event
 from salthead.protocol import names
 
 log = logging.getLogger("salthead.placement")
@@ -19,6 +20,7 @@
 # Whatever keeps room or quota for others keeps a job waiting for no longer than this beside room
 # that it could have. The users allow 90 s; the rest is for a pause and for the start to be told.
 HELD_MOST_S = 75.0
+LIMIT_LOGGED_S = 10.0
 
 
 def entitled(ledger: Ledger) -> set[str]:
@@ -83,7 +85,7 @@
     for n in range(2):
         if job.need[n] > 0:
             # Any team may be using all of the machines that have not been heard from.
-            silent = 0.0 if ledger.ready else ledger.silent()[n]
+            silent = 0.0 if ledger.ready else ledger.takeover.room()[n]
             free = most[n] - usage[n] - silent - (job.behind[n] if heed else 0.0)
             left = min(left, (free + EPS) // job.need[n])
     return max(0, int(left))
@@ -391,7 +393,7 @@
             hooks = ledger.zone_hooks
             if not job.gang or (hooks is not None and hooks.restarts_whole(machine)):
                 # For a gang that is the end of its attempt: what was told of it is stopped.
-                ledger.release(binding, now, "never told")
+                ledger.release(binding, now, Proof.NEVER_TOLD)
                 continue
             counts = zone_counts(job)
             counts[machine.zone] -= 1
@@ -516,7 +518,7 @@
             return False
         job.short = _short_of_quota(ledger, job)
     if job.short:
-        log.debug("job %s waits: limit of team %s", job.job_id, job.spec.team)
+        _note_limit(ledger, job, now)
     else:
         log.debug("job %s waits: no candidate for %d tasks", job.job_id, job.waiting())
     if not held_back(ledger, job, now):
@@ -528,6 +530,28 @@
     return True
 
 
+def _note_limit(ledger: Ledger, job: Job, now: float) -> None:
+    """Log what a limit left for a job: at info once in a while for each team, else at debug."""
+    due = now - ledger.limit_logged_at[job.team] >= LIMIT_LOGGED_S
+    if due:
+        ledger.limit_logged_at[job.team] = now
+    silent = (0.0, 0.0) if ledger.ready else ledger.takeover.room()
+    event(
+        log,
+        "limit_reached",
+        logging.INFO if due else logging.DEBUG,
+        team=job.spec.team,
+        job=job.job_id,
+        token=ledger.token,
+        booked_cpus=ledger.usage[job.team][0],
+        silent_cpus=silent[0],
+        limit_cpus=ledger.caps[job.team][0],
+        kept_cpus=job.behind[0],
+        unknown_jobs=len(ledger.unknown_jobs),
+        ready=ledger.ready,
+    )
+
+
 def _short_of_quota(ledger: Ledger, job: Job) -> bool:
     """Whether the team's limit leaves no room for a task, or for the whole of a gang."""
     return quota_left(ledger, job) < (job.spec.task_count if job.gang else 1)
--- a/src/salthead/coordination/reports.py
+++ b/src/salthead/coordination/reports.py
@@ -7,7 +7,7 @@
 from typing import TYPE_CHECKING, Any
 
 from salthead.coordination.machine_health import mark_unresponsive
-from salthead.coordination.model import BOOTING, LOST, UP, Machine
+from salthead.coordination.model import BOOTING, LOST, UP, Machine, Proof
 from salthead.coordination.task_reports import orders_for
 from salthead.evidence.gate import Action, Fact, lacking
 from salthead.protocol import names
@@ -222,7 +222,7 @@
     if machine.joined and now - machine.heard < 0.5 * ledger.limits.workers.lease_s:
         why = "its lease ended though its reports were answered"
         mark_unresponsive(ledger, machine, now, why)
-    ledger.lose_tasks(machine, now, f"{machine.name} lost its lease")
+    ledger.lose_tasks(machine, now, Proof.NEW_SESSION)
 
 
 def _came_up(ledger: Ledger, machine: Machine, now: float) -> None:
--- a/src/salthead/coordination/returns.py
+++ b/src/salthead/coordination/returns.py
@@ -127,7 +127,7 @@
         # broken machines, and are waited for.
         self.silent_few: set[str] = set()
         if not ledger.ready and ledger.should_have_heard(now):
-            silent = ledger.unheard()
+            silent = ledger.takeover.unheard()
             if ledger.shared_silence is not None:
                 # Seen on zone-behind-cut: 62 machines that a cut of their zone had left well.
                 silent = [m for m in silent if not ledger.shared_silence.behind_cut(m)]
--- a/src/salthead/coordination/strays.py
+++ b/src/salthead/coordination/strays.py
@@ -10,7 +10,9 @@
 import logging
 from typing import TYPE_CHECKING
 
+from salthead import metrics
 from salthead.coordination.model import NOTHING, Binding, Machine, Vec
+from salthead.event_log import event
 from salthead.protocol.messages import Submission
 
 if TYPE_CHECKING:
@@ -34,7 +36,18 @@
     else:
         team, need = -1, NOTHING
         ledger.unknown_jobs.add(job_id)
-    log.info("stray task %s/%d attempt %d on %s", job_id, index, attempt, machine.name)
+    event(
+        log,
+        "stray_found",
+        task=f"{job_id}/{index}",
+        attempt=attempt,
+        machine=machine.name,
+        session=machine.session,
+        job_known=job is not None,
+        team_known=team >= 0,
+        token=ledger.token,
+    )
+    metrics.STRAYS_FOUND.inc()
     ledger.stray_jobs[job_id] = ledger.stray_jobs.get(job_id, 0) + 1
     machine.strays[key] = Binding(job, index, attempt, machine, need, team, stray=True)
     ledger.book(machine, need, team, 1.0)
@@ -43,6 +56,7 @@
 def drop(ledger: Ledger, machine: Machine, key: StrayKey) -> None:
     """The stray task is certainly gone: release what it took."""
     stray = machine.strays.pop(key)
+    event(log, "stray_gone", task=f"{key[0]}/{key[1]}", attempt=key[2], machine=machine.name)
     ledger.book(machine, stray.need, stray.team, -1.0)
     left = ledger.stray_jobs.pop(key[0], 1) - 1
     if left > 0:
--- a/src/salthead/coordination/task_reports.py
+++ b/src/salthead/coordination/task_reports.py
@@ -5,9 +5,11 @@
 import logging
 from typing import TYPE_CHECKING, Any
 
+from salthead import metrics
 from salthead.coordination import strays
 from salthead.coordination.machine_health import errored, mark_unresponsive
-from salthead.coordination.model import Binding, Machine
+from salthead.coordination.model import Binding, Machine, Proof
+from salthead.event_log import event
 from salthead.evidence.gate import Action, Fact, permits
 from salthead.protocol import names
 from salthead.protocol.messages import (
@@ -123,7 +125,7 @@
         if key in seen or machine.bindings.get(key) is not binding:
             continue
         if binding.phase:
-            ledger.release(binding, now, f"not on {machine.name} any more")
+            ledger.release(binding, now, Proof.NOT_SHOWN)
         elif direct:
             continue
         elif binding.stop is not None or binding.start_sends >= UNHEARD_ANSWERS:
@@ -136,7 +138,7 @@
                     now,
                     f"{binding.start_sends} starts of {binding.task_id} unheard",
                 )
-            ledger.release(binding, now, "never started")
+            ledger.release(binding, now, Proof.NEVER_STARTED)
 
 
 def _starts(ledger: Ledger, machine: Machine, most: int) -> list[dict[str, Any]]:
@@ -182,7 +184,17 @@
             return None
         job.attempt = task.attempt
     binding = ledger.bind(job, index, machine, task.attempt, now)
-    log.info("adopted %s attempt %d on %s", task.task_id, task.attempt, machine.name)
+    metrics.ADOPTED.inc()
+    event(
+        log,
+        "task_adopted",
+        task=task.task_id,
+        attempt=task.attempt,
+        machine=machine.name,
+        session=machine.session,
+        phase=task.phase,
+        token=ledger.token,
+    )
     return binding
 
 
@@ -206,7 +218,7 @@
     if job.gang and cause == names.HALTED and task.saved:
         # Saved: the others have saved too or are about to exit, nothing is lost by waiting.
         job.failed = True
-    ledger.release(binding, now, f"{task.task_id} exited: {cause}")
+    ledger.release(binding, now, Proof.EXITED, cause)
 
 
 def _late_exit(ledger: Ledger, job_id: str, index: int, task: TaskReport, now: float) -> None:
--- /dev/null
+++ b/src/salthead/event_log.py
@@ -0,0 +1,21 @@
+"""Log lines that tools can read: the name of an event, then its fields as ``name=value``.
+
+Fields are formatted only where the level is enabled. ``docs/events.md`` lists the events.
+"""
+
+from __future__ import annotations
+
+import logging
+
+
+def event(log: logging.Logger, name: str, level: int = logging.INFO, **fields: object) -> None:
+    """Log one event with its fields, in the order in which they are given."""
+    if log.isEnabledFor(level):
+        log.log(level, "%s %s", name, " ".join(f"{key}={_text(fields[key])}" for key in fields))
+
+
+def _text(value: object) -> str:
+    if isinstance(value, float):
+        return f"{value:.3f}"
+    text = str(value)
+    return f'"{text}"' if not text or " " in text else text
--- a/src/salthead/leader/job_records.py
+++ b/src/salthead/leader/job_records.py
@@ -10,6 +10,7 @@
 from salthead.bookkeeping.store import TROUBLES, Compacted
 from salthead.coordination import waiting
 from salthead.coordination.model import Job
+from salthead.event_log import event
 from salthead.protocol import names
 from salthead.protocol.messages import Malformed, Submission
 from salthead.transport.client import Unanswered
@@ -62,7 +63,16 @@
                 machine.endpoint = machine.endpoint or str(endpoint or "")
         await self.term.zone_permissions.load()
         ledger.loaded = True
-        log.info("loaded %d jobs, %d machines", len(ledger.jobs), len(ledger.machines))
+        event(
+            log,
+            "records_loaded",
+            token=ledger.token,
+            revision=self.since,
+            jobs=len(ledger.jobs),
+            machines=len(ledger.machines),
+            machine_types=len(ledger.machine_types),
+            leases_from=ledger.leases_from,
+        )
 
     def load_parts(self, pages: dict[str, dict[str, Any]], stamps: dict[str, int]) -> None:
         """Done tasks as earlier terms saved them, whichever version wrote them."""
--- a/src/salthead/leader/lead.py
+++ b/src/salthead/leader/lead.py
@@ -9,6 +9,7 @@
 from salthead import metrics
 from salthead.bookkeeping.store import TROUBLES, NoLease
 from salthead.coordination.lease import promise_s
+from salthead.event_log import event
 from salthead.evidence.gate import Action, Fact
 from salthead.leader.peer_calls import ask_promise, ask_reach
 
@@ -33,7 +34,7 @@
         ttl = self.term.clock.ttl
         while True:
             if self.term.ledger.deposed_by:
-                log.warning("a worker has seen token %d", self.term.ledger.deposed_by)
+                self._ending("deposed")
                 return
             sent = self.term.now()
             try:
@@ -42,13 +43,26 @@
                 self.renewal_failed = False
                 await asyncio.sleep(ttl / 5)
             except NoLease:
-                log.warning("the lease of token %d has ended", self.term.token)
+                self._ending("lease_ended")
                 return
             except TROUBLES as error:
                 self.renewal_failed = True
                 self.term.node.note("renew", error)
                 await self.term.node.rest(ttl / 12)
 
+    def _ending(self, why: str, **facts: int) -> None:
+        ledger = self.term.ledger
+        event(
+            log,
+            "lead_ending",
+            logging.WARNING,
+            token=self.term.token,
+            why=why,
+            certain=self.term.valid(),
+            token_seen=ledger.deposed_by,
+            **facts,
+        )
+
     async def promise_loop(self) -> None:
         """While renewals fail, ask all peers for their promise not to stand."""
         peers = self.term.node.peers
@@ -112,12 +126,7 @@
             elsewhere = max((reach.redirected for reach in found if reach is not None), default=0)
             held = Fact.PEER_HEARS_MORE if self.clearly_more(elsewhere, heard) else Fact(0)
             if self.term.permits(Action.RESIGN, held):
-                log.warning(
-                    "resigning: %d of %d workers heard, %d report elsewhere",
-                    heard,
-                    heard + silent,
-                    elsewhere,
-                )
+                self._ending("resigning", heard=heard, silent=silent, report_elsewhere=elsewhere)
                 # Longer than an election, so that a node that hears the workers wins it.
                 self.term.node.abstention.promise(self.term.now())
                 return
--- a/src/salthead/leader/term.py
+++ b/src/salthead/leader/term.py
@@ -160,7 +160,7 @@
             except TROUBLES as error:
                 self.node.note("load", error)
                 await self.node.rest(0.3)
-        self.spawn(self.worker_calls.join_all(self.ledger.unheard()))
+        self.spawn(self.worker_calls.join_all(self.ledger.takeover.unheard()))
         loops = [
             self.job_records.watch_loop(),
             self.job_records.await_loop(),
--- a/src/salthead/leader/views.py
+++ b/src/salthead/leader/views.py
@@ -170,6 +170,20 @@
                 sum(len(job.bindings) for job in self.ledger.jobs.values()),
                 ", ".join(f"{what} {amount:.0f}" for what, amount in self.spent.items()),
             )
+        self._show_limits()
         metrics.ACTIVE.set(len(self.ledger.jobs))
         metrics.AWAITING.set(sum(1 for job in self.ledger.jobs.values() if job.awaiting))
         metrics.WAITING.set(sum(job.waiting() for job in self.ledger.live.values()))
+
+    def _show_limits(self) -> None:
+        """How much of each team's limit is booked, and how much is counted for silent machines."""
+        silent = 0.0 if self.ledger.ready else self.ledger.takeover.room()[0]
+        for team, name in enumerate(self.ledger.team_names.names):
+            for count, cpus in (
+                ("booked", self.ledger.usage[team][0]),
+                ("silent", silent),
+                ("limit", self.ledger.caps[team][0]),
+            ):
+                metrics.TEAM_CPUS.labels(name, count).set(cpus)
+        for why, machines in self.ledger.takeover.by_reason().items():
+            metrics.UNHEARD.labels(why).set(machines)
--- a/src/salthead/metrics.py
+++ b/src/salthead/metrics.py
@@ -52,6 +52,30 @@
 DISPLACED = Gauge(
     "salthead_displaced_jobs", "Jobs that lost tasks with a lost zone", registry=REGISTRY
 )
+TEAM_CPUS = Gauge(
+    "salthead_team_cpus",
+    "CPUs of a team: booked, counted for silent machines, and its limit",
+    ["team", "count"],
+    registry=REGISTRY,
+)
+UNHEARD = Gauge(
+    "salthead_unheard_machines",
+    "Machines that a new leader has not accounted for",
+    ["why"],
+    registry=REGISTRY,
+)
+RELEASED = Counter(
+    "salthead_tasks_released_total",
+    "Tasks that are certainly not on their machine any more, by the proof",
+    ["proof"],
+    registry=REGISTRY,
+)
+ADOPTED = Counter(
+    "salthead_tasks_adopted_total", "Tasks of earlier leaders taken over", registry=REGISTRY
+)
+STRAYS_FOUND = Counter(
+    "salthead_stray_tasks_total", "Tasks found that no binding explains", registry=REGISTRY
+)
 SPENT = Gauge(
     "salthead_cpu_seconds", "Rented CPU-seconds of this term by use", ["use"], registry=REGISTRY
 )
--- a/src/salthead/node/node.py
+++ b/src/salthead/node/node.py
@@ -19,6 +19,7 @@
 )
 from salthead.coordination import lease
 from salthead.errors import Later
+from salthead.event_log import event
 from salthead.evidence.gate import Action, Fact, permits
 from salthead.leader.term import Term
 from salthead.node.election import Election
@@ -177,7 +178,8 @@
 
     async def lead(self, token: int, stamp: int, tether: int, sent: float, ttl: float) -> None:
         """Lead until the lease has ended."""
-        log.info("%s leads with token %d", self.settings.member, token)
+        member = self.settings.member
+        event(log, "lead_taken", member=member, token=token, revision=stamp, asked_at=sent)
         term = Term(self, token, stamp, tether, lease.LeaseClock(ttl))
         term.clock.renewed(sent)
         self.term = term
@@ -188,7 +190,7 @@
         finally:
             self.term = None
             metrics.LEADING.set(0)
-            log.info("%s leads no more (token %d)", self.settings.member, token)
+            event(log, "lead_ended", member=member, token=token, after_s=self.now() - sent)
 
     # -- what workers ask ---------------------------------------------------------------
 
--- a/tests/test_large_fleet.py
+++ b/tests/test_large_fleet.py
@@ -83,7 +83,7 @@
         (third_lost, lambda led: led.tick(100.0)),
         (third_lost, lambda led: (led.tick(100.0), plan(led, 101.0))),
         (third_lost, lambda led: (led.tick(100.0), come_back(led))),
-        (takeover, lambda led: (led.tick(101.0), led.silent(), plan(led, 101.0))),
+        (takeover, lambda led: (led.tick(101.0), led.takeover.room(), plan(led, 101.0))),
     ],
     ids=["plan", "loss", "plan after a loss", "return", "takeover"],
 )
--- a/tests/test_layers.py
+++ b/tests/test_layers.py
@@ -9,7 +9,7 @@
 SOURCES = Path(__file__).resolve().parent.parent / "src" / "salthead"
 # From the bottom: a module imports from its own layer and from those before it.
 LAYERS: list[set[str]] = [
-    {"errors", "toml_file", "metrics", "__init__"},
+    {"errors", "event_log", "toml_file", "metrics", "__init__"},
     {"protocol", "settings"},
     {"transport"},
     {"bookkeeping"},
--- a/tests/test_scale.py
+++ b/tests/test_scale.py
@@ -235,7 +235,7 @@
     [
         (lambda led, now: led.tick(now), 4),
         (lambda led, now: placement.redraw(led, random.Random(1), now), 4),
-        (lambda led, now: led.silent(), 4),
+        (lambda led, now: led.takeover.room(), 4),
     ],
     ids=["tick", "redraw", "silent"],
 )
@@ -335,7 +335,7 @@
         await world.submit(spec("req-99", task_count=1, vcpus=1.0, estimated_run_s=5.0))
         while "req-99" not in world.begun:
             await asyncio.sleep(0.05)
-        silent = len(new.term.ledger.unheard())
+        silent = len(new.term.ledger.takeover.unheard())
         waited = world.now() - began
         for worker in busy:
             worker.cut = False
