A machine of unknown type counts as room for anything until it is accounted for

Cause: the capacity of a machine whose type is not known is nothing. A leader that began before it had read the types therefore counted silent machines as no room against every team's limit, and as able to run no job, and kept that sum until the next look at the fleet, up to half a second after the types arrived. Ruled out: a late look alone (it fails with a type that the cloud does not list any more, which never arrives). Change: unknown is unlimited, and what makes the sum larger drops it.

--- a/src/salthead/coordination/ledger.py
+++ b/src/salthead/coordination/ledger.py
@@ -177,6 +177,7 @@
 
     def set_machine_types(self, machine_types: Iterable[MachineType]) -> None:
         """Take the cloud's machine types in."""
+        self.takeover.forget_room()
         for machine_type in machine_types:
             index = self.type_names.intern(machine_type.name)
             self.machine_types[index] = machine_type
@@ -450,6 +451,7 @@
             self.set_phase(machine, UP)
         if rostered:
             self.set_rostered(machine)
+            self.takeover.forget_room()
         return machine
 
     def set_rostered(self, machine: Machine) -> None:
--- a/src/salthead/coordination/model.py
+++ b/src/salthead/coordination/model.py
@@ -14,6 +14,7 @@
 Vec = tuple[float, float, float]
 Kind = tuple[int, int, bool]  # type, zone, spot
 NOTHING: Vec = (0.0, 0.0, 0.0)
+ANYTHING: Vec = (math.inf, math.inf, math.inf)
 EPS = 1e-6
 
 UP, BOOTING, LOST, GONE = "up", "booting", "lost", "gone"
--- a/src/salthead/coordination/placement.py
+++ b/src/salthead/coordination/placement.py
@@ -87,6 +87,8 @@
             # Any team may be using all of the machines that have not been heard from.
             silent = 0.0 if ledger.ready else ledger.takeover.room()[n]
             free = most[n] - usage[n] - silent - (job.behind[n] if heed else 0.0)
+            if free + EPS < job.need[n]:
+                return 0  # of an unlimited silent room a division would make no number
             left = min(left, (free + EPS) // job.need[n])
     return max(0, int(left))
 
--- a/src/salthead/coordination/takeover.py
+++ b/src/salthead/coordination/takeover.py
@@ -3,6 +3,9 @@
 A machine that an earlier leader had in the roster may run anything until it has reported under
 this term's token, or its worker's lease must be over. Until then it counts against every team, and
 no job that it could be running is started anywhere else.
+
+What is not known counts as the unfavourable case: a machine of a type that is not known, not yet or
+not any more, has room for anything.
 """
 
 from __future__ import annotations
@@ -10,7 +13,7 @@
 import logging
 from typing import TYPE_CHECKING
 
-from salthead.coordination.model import EPS, UP, Job, Kind, Machine, Vec
+from salthead.coordination.model import ANYTHING, EPS, UP, Job, Kind, Machine, Vec
 from salthead.event_log import event
 
 if TYPE_CHECKING:
@@ -30,6 +33,10 @@
         self._room: tuple[float, float] | None = None
         self._kinds: dict[Kind, Vec] = {}
 
+    def forget_room(self) -> None:
+        """What was summed may have grown: machines or their types have become known."""
+        self._room = None
+
     def unheard(self) -> list[Machine]:
         """Machines that may run anything an earlier leader started."""
         return [
@@ -66,13 +73,25 @@
         return found
 
     def room(self) -> tuple[float, float]:
-        """CPUs and GPUs of those, as of the last look at the latest: they only become fewer."""
+        """CPUs and GPUs that tasks of any team may be taking on those.
+
+        As of the last look at the latest. Between looks a machine can only be accounted for;
+        whatever makes the sum larger calls ``forget_room``. Before, a type that became known did
+        not: what had been summed as nothing stood for half a second, in which placement took every
+        task of every job for startable (``days/types-unknown.toml``: ``ran_twice``).
+        """
         if self._room is None:
             unheard = self.unheard()
-            self._room = (sum(m.cap[0] for m in unheard), sum(m.cap[1] for m in unheard))
-            self._kinds = {m.kind: m.cap for m in unheard}
+            capacities = [self._capacity(machine) for machine in unheard]
+            self._room = (sum(cap[0] for cap in capacities), sum(cap[1] for cap in capacities))
+            self._kinds = {m.kind: cap for m, cap in zip(unheard, capacities, strict=True)}
         return self._room
 
+    def _capacity(self, machine: Machine) -> Vec:
+        """What the machine may hold: anything while its type is unknown."""
+        known = machine.machine_type in self.ledger.machine_types
+        return machine.cap if known else ANYTHING
+
     def could_run(self, job: Job) -> bool:
         """Whether one of them may be running a task of the job that an earlier leader started.
 
--- a/tests/test_stale_knowledge.py
+++ b/tests/test_stale_knowledge.py
@@ -79,7 +79,7 @@
         led.tick(0.1)
         placement.place(led, RNG, 0.1)
         led.set_machine_types(FLAVORS)
-        for at in (0.2, 6.0):  # no tick has come since at the first of these
+        for at in (0.2, 8.0):  # no tick has come since at the first of these
             for sequence, (name, machine_type) in enumerate(ROSTER, int(at) + 1):
                 if name not in silent:
                     led.on_report(report(name, sequence, machine_type=machine_type), at)
