The late answer to a submission is no news of a job from before this term

Cause: a node that had written a job took it in as never started when the answer came, whatever the revision of that write; had an earlier leader run and ended the job meanwhile, it ran again. Ruled out: events that come late (they begin at the revision that the term read), outcomes that the node has forgotten (20,000 are kept; at the state service's write limit that is minutes, and an answer is waited for 2 s). Change: one function says whether an event or an answer is news, by the revision of the lead.

--- a/src/salthead/leader/job_records.py
+++ b/src/salthead/leader/job_records.py
@@ -146,19 +146,26 @@
         except Malformed as error:
             self.term.node.note("job record", f"{key}: {error}")
             return
-        # An event may be older than the outcome; what is loaded is not over, though its outcome
-        # may have been derived, and told, before it is written.
-        if loading or spec.job_id not in self.term.node.finals:
+        # What is loaded is not over, though its outcome may have been derived, and told, before it
+        # is written.
+        if loading or self._is_news(spec.job_id, stamp):
             self.ledger.add_job(spec, self.now(), fresh=stamp > self.term.stamp)
 
-    def add_job(self, spec: Submission) -> None:
-        """A job whose record this node has just written.
+    def add_job(self, spec: Submission, revision: int) -> None:
+        """A job whose record this node has written, with the revision of that write."""
+        if self._is_news(spec.job_id, revision):
+            self.ledger.add_job(spec, self.now(), fresh=True)
 
-        The answer to that write may come late: the job may have been seen, and ended, meanwhile.
+    def _is_news(self, job_id: str, revision: int) -> bool:
+        """Whether a record that an event or an answer brings is of a job that is not over.
+
+        Either may come late. What was written before this term was read when it began: what is not
+        in the ledger by that had ended before, though this node may never have read its outcome
+        (a job that an earlier leader had ended was started again by the late answer to its
+        submission). Of this term's own outcomes ``finals`` holds many more than are written in the
+        time for which an answer is waited for.
         """
-        if spec.job_id in self.term.node.finals:
-            return
-        self.ledger.add_job(spec, self.now(), fresh=True)
+        return revision > self.term.stamp and job_id not in self.term.node.finals
 
     async def watch_loop(self) -> None:
         """Jobs that any node accepted."""
--- a/src/salthead/node/submissions.py
+++ b/src/salthead/node/submissions.py
@@ -67,7 +67,7 @@
                 return 200, found
             raise
         try:
-            await self.node.store.txn(
+            revision = await self.node.store.txn(
                 {records.job_key(job.job_id): 0, records.over_key(job.job_id): 0},
                 [put(key, value) for key, value in rows],
             )
@@ -81,7 +81,7 @@
                 raise Later("in doubt") from None
             return 200, found
         log.debug("accepted %s: %d tasks", job.job_id, job.task_count)
-        return 201, self._accepted(job, len(rows) - 1, dependency_cancelled)
+        return 201, self._accepted(job, len(rows) - 1, dependency_cancelled, revision)
 
     async def _known(self, job_id: str) -> dict[str, Any] | None:
         """The state of a job that this node knows, in its memory or as the leader."""
@@ -110,7 +110,9 @@
             rows = [(records.over_key(job.job_id), value)]
         return rows, dependency_cancelled
 
-    def _accepted(self, job: Submission, more: int, dependency_cancelled: bool) -> dict[str, Any]:
+    def _accepted(
+        self, job: Submission, more: int, dependency_cancelled: bool, revision: int
+    ) -> dict[str, Any]:
         """The job is durable: what this node remembers of it, and what its user is told."""
         if dependency_cancelled:
             self.node.final(job.job_id, names.ABORTED, job.task_count, job.at)
@@ -119,7 +121,7 @@
         self.node.remember(job)
         term = self.node.leading()
         if term is not None and term.ledger.loaded:
-            term.job_records.add_job(job)
+            term.job_records.add_job(job, revision)
         return {"uid": job.job_id, "phase": names.QUEUED}
 
     async def _check_awaits(self, job: Submission) -> bool:
