One place decides what may start and how much of a limit is left; invariants of the ledger checked at run time

The class of both faults is a check that stands in one path with one reading of what is not known, and in another with another. startable, wanted and quota_left (start_rules.py) are now what passes, offers, draws made again, room made by stops, gangs and answers with starts ask; a start that is not wanted any more is withdrawn. Invariants (invariants.py): bound once, nothing over, within the limit at each grant, no start that its job does not know, sums. In tests they raise, in production they are logged, counted, and bar the start. Each is shown to fire.

--- a/src/salthead/coordination/gangs.py
+++ b/src/salthead/coordination/gangs.py
@@ -13,6 +13,7 @@
 from salthead.coordination.estimates import left_s
 from salthead.coordination.ledger import Ledger
 from salthead.coordination.model import EPS, Job, Machine
+from salthead.coordination.start_rules import quota_left
 
 log = logging.getLogger("salthead.gangs")
 
@@ -51,7 +52,7 @@
     evacuating = ledger.zone_hooks is not None and ledger.zone_hooks.evacuating()
     crowded = not evacuating and any(not job.gang and job.waiting() for job in ledger.live.values())
     for job in starved:
-        if not job.gang or placement.quota_left(ledger, job) < job.spec.task_count:
+        if not job.gang or quota_left(ledger, job) < job.spec.task_count:
             continue
         # Kept room stands empty, so while others wait for room it is kept no earlier than the
         # gang's own target asks.
--- /dev/null
+++ b/src/salthead/coordination/invariants.py
@@ -0,0 +1,133 @@
+"""What must hold of a ledger whatever happens, checked while it runs.
+
+Decisions are made elsewhere and never rest on these checks. One that fails shows a fault in them:
+it is logged with its evidence, counted, and the start concerned is not sent. In tests it raises.
+"""
+
+from __future__ import annotations
+
+import logging
+from enum import StrEnum
+from typing import TYPE_CHECKING
+
+from salthead import metrics
+from salthead.coordination.model import EPS, Binding, Job, Machine
+from salthead.event_log import event
+
+if TYPE_CHECKING:
+    from salthead.coordination.ledger import Ledger
+
+log = logging.getLogger("salthead.invariants")
+
+# Between sums over all bookings: for thousands of machines one takes some milliseconds.
+AUDIT_GAP_S = 30.0
+AUDIT_EPS = 1e-3  # what rounding may add up to over many bookings
+
+
+class Invariant(StrEnum):
+    """What must hold."""
+
+    BOUND_ONCE = "bound_once"  # a task has one machine at the most
+    NOT_OVER = "not_over"  # nothing of a job that is over or cancelled, nor a done task, is bound
+    WITHIN_LIMIT = "within_limit"  # bookings and silent room are within the limit at each grant
+    START_BOUND = "start_bound"  # no start is sent of what its job does not know to be there
+    SUMS_AGREE = "sums_agree"  # bookings of teams and machines are the sums of what is bound
+
+
+class InvariantBroken(AssertionError):
+    """Raised instead of logged where ``Invariants.strict`` is set."""
+
+
+class Invariants:
+    """The checks of one ledger."""
+
+    strict = False  # set by tests
+
+    def __init__(self, ledger: Ledger) -> None:
+        self.ledger = ledger
+        self.audited_at = ledger.took_over
+
+    def _broken(self, which: Invariant, **evidence: object) -> bool:
+        metrics.INVARIANTS_BROKEN.labels(which).inc()
+        token = self.ledger.token
+        event(log, "invariant_broken", logging.ERROR, which=which, token=token, **evidence)
+        if self.strict:
+            raise InvariantBroken(f"{which}: {evidence}")
+        return False
+
+    def may_bind(self, job: Job, index: int, machine: Machine, granted: bool) -> bool:
+        """Before a task is bound. ``granted``: by a decision of this leader to start it.
+
+        What an earlier leader started is bound as it is found, whatever the limit.
+        """
+        found = {"task": f"{job.job_id}/{index}", "machine": machine.name, "granted": granted}
+        before = job.bindings.get(index)
+        if before is not None or (job.job_id, index) in machine.bindings:
+            there = before.machine.name if before is not None else machine.name
+            return self._broken(Invariant.BOUND_ONCE, bound_to=there, **found)
+        if job.over or job.cancel_requested or job.dependency_cancelled or job.done[index]:
+            done = bool(job.done[index])
+            return self._broken(Invariant.NOT_OVER, over=job.over, done=done, **found)
+        return not granted or self._within_limit(job, found)
+
+    def _within_limit(self, job: Job, found: dict[str, object]) -> bool:
+        ledger = self.ledger
+        silent = (0.0, 0.0) if ledger.ready else ledger.takeover.room()
+        usage, most = ledger.usage[job.team], ledger.caps[job.team]
+        fits = all(
+            not job.need[n] or usage[n] + silent[n] + job.need[n] <= most[n] + EPS * 10
+            for n in range(2)
+        )
+        if fits and not ledger.unknown_jobs:
+            return True
+        return self._broken(
+            Invariant.WITHIN_LIMIT,
+            team=job.spec.team,
+            booked=usage[0],
+            silent=silent[0],
+            needed=job.need[0],
+            limit=most[0],
+            unknown_jobs=len(ledger.unknown_jobs),
+            **found,
+        )
+
+    def may_send_start(self, binding: Binding) -> bool:
+        """Before an answer carries a start."""
+        if binding.barred:
+            return False  # said when it was bound, or was to be told
+        job = binding.job
+        if job is not None and job.bindings.get(binding.index) is binding:
+            return True
+        binding.barred = True
+        return self._broken(
+            Invariant.START_BOUND,
+            task=binding.task_id,
+            attempt=binding.attempt,
+            machine=binding.machine.name,
+        )
+
+    def audit(self, now: float) -> None:
+        """Compare the bookings with their sums, now and then."""
+        if now - self.audited_at < AUDIT_GAP_S:
+            return
+        self.audited_at = now
+        teams = [[0.0, 0.0] for _ in self.ledger.usage]
+        for machine in self.ledger.machines.values():
+            on_machine = [0.0, 0.0, 0.0]
+            for binding in (*machine.bindings.values(), *machine.strays.values()):
+                for n, amount in enumerate(binding.need):
+                    on_machine[n] += amount
+                    if n < 2 and binding.team >= 0:
+                        teams[binding.team][n] += amount
+            if any(abs(a - b) > AUDIT_EPS for a, b in zip(on_machine, machine.used, strict=True)):
+                self._broken(
+                    Invariant.SUMS_AGREE, machine=machine.name, sum=on_machine, booked=machine.used
+                )
+        for team, (total, usage) in enumerate(zip(teams, self.ledger.usage, strict=True)):
+            if any(abs(a - b) > AUDIT_EPS for a, b in zip(total, usage, strict=True)):
+                self._broken(
+                    Invariant.SUMS_AGREE,
+                    team=self.ledger.team_names[team],
+                    sum=total,
+                    booked=usage,
+                )
--- a/src/salthead/coordination/ledger.py
+++ b/src/salthead/coordination/ledger.py
@@ -18,6 +18,7 @@
 from salthead import metrics
 from salthead.coordination import reports, strays, waiting
 from salthead.coordination.estimates import Arrivals, Estimates, Promptness
+from salthead.coordination.invariants import Invariants
 from salthead.coordination.lease import blind_s, surely_over
 from salthead.coordination.machine_room import MachineRoom
 from salthead.coordination.model import (
@@ -145,6 +146,7 @@
         self.stray_jobs: dict[str, int] = {}  # stray tasks by job: such a job starts nothing
         self.deposed_by = 0
         self.takeover = Takeover(self)
+        self.invariants = Invariants(self)
         self.pipelines = Pipelines()
         self.factors: dict[str, float] = {}  # of estimates, as the pipelines' due times use them
         self.pending_aborts: dict[
@@ -331,14 +333,29 @@
         if self.shared_silence is not None:
             self.shared_silence.phase_changed(machine)
 
-    def bind(self, job: Job, index: int, machine: Machine, attempt: int, now: float) -> Binding:
-        """Bind a task to a machine, with its bookings."""
+    def bind(
+        self,
+        job: Job,
+        index: int,
+        machine: Machine,
+        attempt: int,
+        now: float,
+        granted: bool = False,
+    ) -> Binding:
+        """Bind a task to a machine, with its bookings.
+
+        ``granted``: by a new decision to start it, which its team's limit has to allow.
+        """
+        sound = self.invariants.may_bind(job, index, machine, granted)
         binding = Binding(job, index, attempt, machine, job.need, job.team, since=now)
         machine.bindings[(job.job_id, index)] = binding
         machine.unchanged = False
         job.bindings[index] = binding
         self.ranks[job.rank] += 1
         self.book(machine, job.need, job.team, 1.0)
+        if not sound:
+            binding.barred = True
+            self.want_stop(binding, 0.0)
         return binding
 
     def release(self, binding: Binding, now: float, proof: Proof, detail: object = "") -> None:
@@ -483,6 +500,7 @@
     def tick(self, now: float) -> None:
         """What time alone decides: leases that are surely over, and the end of a takeover."""
         waiting.revise_runs(self)
+        self.invariants.audit(now)
         # Of a leader without its lease workers may be another one's by now: what it last heard
         # says nothing of them. It had judged 135 machines lost that reported to the next leader.
         if permits(Action.JUDGE_LOST, self.facts() | WORKER_LEASE_OVER):
--- a/src/salthead/coordination/model.py
+++ b/src/salthead/coordination/model.py
@@ -49,6 +49,7 @@
     stop: float | None = None  # the leeway of the stop that is wanted
     stop_sent: bool = False
     stray: bool = False  # on a machine, but not ours to keep: its stop is wanted
+    barred: bool = False  # bound against an invariant: its start is not sent
 
     @property
     def task_id(self) -> str:
--- a/src/salthead/coordination/placement.py
+++ b/src/salthead/coordination/placement.py
@@ -10,6 +10,7 @@
 from salthead.coordination import order
 from salthead.coordination.ledger import Ledger
 from salthead.coordination.model import EPS, UP, Job, Kind, Machine, Proof
+from salthead.coordination.start_rules import quota_left, startable, wanted
 from salthead.event_log import event
 from salthead.protocol import names
 
@@ -48,14 +49,7 @@
     first, the smallest ahead: a large one, or one that has missed that, would make all that come
     after it miss it as well.
     """
-    waiting = [
-        job
-        for job in ledger.live.values()
-        if not job.failed
-        and job.job_id not in ledger.stray_jobs
-        and job.waiting() > 0
-        and ledger.may_place(job)
-    ]
+    waiting = [job for job in ledger.live.values() if startable(ledger, job)]
     at_once_s = ledger.prompt.within_s
     first = [job for job in waiting if job.job_id in within and now - job.since <= at_once_s]
     first.sort(key=lambda job: (job.rank, job.waiting() * job.need[0], job.since, job.job_id))
@@ -76,23 +70,6 @@
     return first
 
 
-def quota_left(ledger: Ledger, job: Job, heed: bool = True) -> int:
-    """How many more tasks of the job its team's limit allows; ``heed`` what is kept of it."""
-    if ledger.unknown_jobs:
-        return 0  # a stray task's team is not known yet
-    usage, most = ledger.usage[job.team], ledger.caps[job.team]
-    left = float(job.spec.task_count)
-    for n in range(2):
-        if job.need[n] > 0:
-            # Any team may be using all of the machines that have not been heard from.
-            silent = 0.0 if ledger.ready else ledger.takeover.room()[n]
-            free = most[n] - usage[n] - silent - (job.behind[n] if heed else 0.0)
-            if free + EPS < job.need[n]:
-                return 0  # of an unlimited silent room a division would make no number
-            left = min(left, (free + EPS) // job.need[n])
-    return max(0, int(left))
-
-
 def unusable(ledger: Ledger, machine: Machine, now: float) -> str:
     """Why room on a machine can't be used now, for operators; empty when it can."""
     reasons = (
@@ -316,7 +293,7 @@
         index = job.take()
         if index is None:
             break
-        ledger.bind(job, index, machine, ledger.next_attempt(), now)
+        ledger.bind(job, index, machine, ledger.next_attempt(), now, granted=True)
         candidate_pools.used(machine)
         bound += 1
         if zoned:
@@ -373,7 +350,7 @@
         return False
     job.attempt = ledger.next_attempt()
     for index, machine in enumerate(chosen):
-        ledger.bind(job, index, machine, job.attempt, now)
+        ledger.bind(job, index, machine, job.attempt, now, granted=True)
     return True
 
 
@@ -390,8 +367,8 @@
             continue
         for binding in [b for b in machine.bindings.values() if b.start_unsent()]:
             job = binding.job
-            if job is None or job.failed or job.over:
-                continue
+            if job is None or job.failed or not wanted(binding):
+                continue  # it is on its way out
             hooks = ledger.zone_hooks
             if not job.gang or (hooks is not None and hooks.restarts_whole(machine)):
                 # For a gang that is the end of its attempt: what was told of it is stopped.
@@ -459,15 +436,11 @@
         if machine.cap[0] - machine.used[0] + EPS < ledger.line.least_cpus:
             return
         if (
-            job.over
-            or job.failed
-            or now < job.wait_until
-            or not job.waiting()
+            now < job.wait_until
             or not machine.fits(job.need)
             or not allows(job, machine)
             or not open_to(ledger, job, machine, now)
-            or job.job_id in ledger.stray_jobs
-            or not ledger.may_place(job)
+            or not startable(ledger, job)
         ):
             continue
         attempt(ledger, job, rng, now, machine)
--- a/src/salthead/coordination/preemption.py
+++ b/src/salthead/coordination/preemption.py
@@ -8,6 +8,7 @@
 from salthead.coordination import order, placement
 from salthead.coordination.ledger import Ledger
 from salthead.coordination.model import UP, Binding, Job, Machine, Vec
+from salthead.coordination.start_rules import quota_left
 from salthead.protocol import names
 
 log = logging.getLogger("salthead.preemption")
@@ -114,7 +115,7 @@
 
 def make_room(ledger: Ledger, job: Job, within: set[str], now: float) -> int:
     """Choose victims for the job's waiting tasks; machines are kept for it meanwhile."""
-    wanted = min(job.waiting(), placement.quota_left(ledger, job))
+    wanted = min(job.waiting(), quota_left(ledger, job))
     if (job.gang and wanted < job.spec.task_count) or not could_push(ledger, job, within):
         return 0
     base = [
--- /dev/null
+++ b/src/salthead/coordination/start_rules.py
@@ -0,0 +1,58 @@
+"""Which tasks may start now, and how much of a team's limit is left: every path asks here.
+
+Passes of placement, room offered by a report, draws made again, room made by stopping others, and
+the answers that carry starts each had a part of these conditions of their own.
+"""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from salthead.coordination.model import EPS, Binding, Job
+
+if TYPE_CHECKING:
+    from salthead.coordination.ledger import Ledger
+
+
+def startable(ledger: Ledger, job: Job) -> bool:
+    """Whether tasks of the job that have no machine may be given one now.
+
+    A stray task of the job may be any of them; what an earlier leader started may be on a machine
+    that is not accounted for.
+    """
+    return (
+        not job.failed
+        and job.job_id not in ledger.stray_jobs
+        and job.waiting() > 0
+        and ledger.may_place(job)
+    )
+
+
+def wanted(binding: Binding) -> bool:
+    """Whether a task that has a machine is still to run there."""
+    job = binding.job
+    return (
+        job is not None
+        and binding.stop is None
+        and not job.over
+        and not job.cancel_requested
+        and not job.dependency_cancelled
+        and not job.done[binding.index]
+    )
+
+
+def quota_left(ledger: Ledger, job: Job, heed: bool = True) -> int:
+    """How many more tasks of the job its team's limit allows; ``heed`` what is kept of it."""
+    if ledger.unknown_jobs:
+        return 0  # a stray task's team is not known yet
+    usage, most = ledger.usage[job.team], ledger.caps[job.team]
+    left = float(job.spec.task_count)
+    for n in range(2):
+        if job.need[n] > 0:
+            # Any team may be using all of the machines that have not been heard from.
+            silent = 0.0 if ledger.ready else ledger.takeover.room()[n]
+            free = most[n] - usage[n] - silent - (job.behind[n] if heed else 0.0)
+            if free + EPS < job.need[n]:
+                return 0  # of an unlimited silent room a division would make no number
+            left = min(left, (free + EPS) // job.need[n])
+    return max(0, int(left))
--- a/src/salthead/coordination/task_reports.py
+++ b/src/salthead/coordination/task_reports.py
@@ -9,6 +9,7 @@
 from salthead.coordination import strays
 from salthead.coordination.machine_health import errored, mark_unresponsive
 from salthead.coordination.model import Binding, Machine, Proof
+from salthead.coordination.start_rules import wanted
 from salthead.event_log import event
 from salthead.evidence.gate import Action, Fact, permits
 from salthead.protocol import names
@@ -149,7 +150,13 @@
     if not permits(Action.START, held):
         return orders
     for binding in machine.bindings.values():
-        if not binding.phase and binding.stop is None and len(orders) < most:
+        if binding.phase or binding.stop is not None or len(orders) >= most:
+            continue
+        if not wanted(binding):
+            # Since it was bound its task was found done elsewhere, as one of a gang whose earlier
+            # attempt had completed: released by the next report, which does not show it.
+            ledger.want_stop(binding, 0.0)
+        elif ledger.invariants.may_send_start(binding):
             binding.start_sends += 1
             orders.append(start_order(binding.task_id, binding.attempt))
     return orders
--- a/src/salthead/metrics.py
+++ b/src/salthead/metrics.py
@@ -70,6 +70,12 @@
     ["proof"],
     registry=REGISTRY,
 )
+INVARIANTS_BROKEN = Counter(
+    "salthead_invariants_broken_total",
+    "Checks of the ledger that failed: each is a fault in salthead",
+    ["which"],
+    registry=REGISTRY,
+)
 ADOPTED = Counter(
     "salthead_tasks_adopted_total", "Tasks of earlier leaders taken over", registry=REGISTRY
 )
--- a/src/salthead/zones/evacuation.py
+++ b/src/salthead/zones/evacuation.py
@@ -5,6 +5,7 @@
 from salthead.coordination import order, placement
 from salthead.coordination.ledger import Ledger
 from salthead.coordination.model import Job, Machine
+from salthead.coordination.start_rules import quota_left
 from salthead.protocol import names
 
 # A claim lasts for so many report periods: by then the gang's other machines are up, or room is
@@ -51,7 +52,7 @@
 def _suits(ledger: Ledger, job: Job, machine: Machine) -> bool:
     """Whether a task of the job may start on the machine now."""
     fits = machine.fits(job.need) and placement.allows(job, machine)
-    return fits and placement.quota_left(ledger, job) > 0
+    return fits and quota_left(ledger, job) > 0
 
 
 def _lacks(ledger: Ledger, job: Job, machine: Machine, now: float) -> bool:
@@ -59,7 +60,7 @@
     task_count = job.spec.task_count
     if not job.gang or job.waiting() < task_count or not machine.fits(job.need):
         return False
-    if not placement.allows(job, machine) or placement.quota_left(ledger, job) < task_count:
+    if not placement.allows(job, machine) or quota_left(ledger, job) < task_count:
         return False
     kept = ledger.room.kept_for(job.job_id, now)
     counts: dict[int, int] = {}
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -6,11 +6,14 @@
 
 import msgspec
 
+from salthead.coordination.invariants import Invariants
 from salthead.coordination.ledger import Ledger
 from salthead.coordination.model import Job, Machine
 from salthead.protocol.messages import MachineType, Report, Submission, TaskReport
 from salthead.settings import Limits, Settings
 
+Invariants.strict = True
+
 LIMITS: dict[str, Any] = {
     "zones": ["north", "south"],
     "teams": [
--- /dev/null
+++ b/tests/test_invariants.py
@@ -0,0 +1,133 @@
+"""Each check of the ledger fires, and bars the start that it concerns."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+import pytest
+
+from helpers import job, ledger, machine, ready, report, verbs
+from salthead import metrics
+from salthead.coordination.invariants import AUDIT_GAP_S, Invariant, InvariantBroken, Invariants
+from salthead.coordination.ledger import Ledger
+
+
+def bind(led: Ledger, index: int = 0, granted: bool = True) -> None:
+    led.bind(led.jobs["req-1"], index, led.machines["m1"], 1, 1.0, granted=granted)
+
+
+def bound_twice(led: Ledger) -> None:
+    machine(led, "m2")
+    led.bind(led.jobs["req-1"], 0, led.machines["m2"], 2, 1.0)
+    bind(led)
+
+
+def done_task(led: Ledger) -> None:
+    led.load_done(led.jobs["req-1"], [0])
+    bind(led)
+
+
+def cancelled(led: Ledger) -> None:
+    led.request_cancel(led.jobs["req-1"])
+    bind(led, granted=False)
+
+
+def above_the_limit(led: Ledger) -> None:
+    for index in range(7):  # of 4 CPUs each, where red may use 24
+        bind(led, index)
+
+
+def beside_silent_machines(led: Ledger) -> None:
+    led.ready = False
+    led.add_machine("silent", "big", "north", False, 0.0, rostered=True)
+    bind(led)
+
+
+def beside_an_unknown_stray(led: Ledger) -> None:
+    led.unknown_jobs.add("req-9")
+    bind(led)
+
+
+def start_that_its_job_does_not_know(led: Ledger) -> None:
+    bind(led)
+    del led.jobs["req-1"].bindings[0]
+    led.on_report(report("m1", 2), 2.0)
+
+
+def wrong_sum_of_a_team(led: Ledger) -> None:
+    bind(led)
+    led.usage[0][0] = 0.0
+    led.tick(AUDIT_GAP_S + 1.0)
+
+
+def wrong_sum_of_a_machine(led: Ledger) -> None:
+    bind(led)
+    led.machines["m1"].used[2] = 0.0
+    led.tick(AUDIT_GAP_S + 1.0)
+
+
+FAULTS: list[tuple[Callable[[Ledger], None], Invariant]] = [
+    (bound_twice, Invariant.BOUND_ONCE),
+    (done_task, Invariant.NOT_OVER),
+    (cancelled, Invariant.NOT_OVER),
+    (above_the_limit, Invariant.WITHIN_LIMIT),
+    (beside_silent_machines, Invariant.WITHIN_LIMIT),
+    (beside_an_unknown_stray, Invariant.WITHIN_LIMIT),
+    (start_that_its_job_does_not_know, Invariant.START_BOUND),
+    (wrong_sum_of_a_team, Invariant.SUMS_AGREE),
+    (wrong_sum_of_a_machine, Invariant.SUMS_AGREE),
+]
+
+
+def a_ledger() -> Ledger:
+    led = ready()
+    machine(led, "m1")
+    job(led, team="red", task_count=9, vcpus=4.0)
+    return led
+
+
+@pytest.mark.parametrize(("fault", "which"), FAULTS, ids=lambda one: getattr(one, "__name__", ""))
+def test_a_fault_is_found(fault: Callable[[Ledger], None], which: Invariant) -> None:
+    with pytest.raises(InvariantBroken, match=which):
+        fault(a_ledger())
+
+
+@pytest.mark.parametrize("fault", [fault for fault, _ in FAULTS[:7]], ids=lambda one: one.__name__)
+def test_in_production_it_is_logged_and_counted_and_no_start_is_sent(
+    fault: Callable[[Ledger], None],
+    monkeypatch: pytest.MonkeyPatch,
+    caplog: pytest.LogCaptureFixture,
+) -> None:
+    monkeypatch.setattr(Invariants, "strict", False)
+    which = dict(FAULTS)[fault]
+    before = metrics.INVARIANTS_BROKEN.labels(which)._value.get()
+    led = a_ledger()
+    fault(led)
+    started = {task for verb, task in verbs(led.on_report(report("m1", 3), 3.0)) if verb == "start"}
+    assert started == ({f"req-1/{n}" for n in range(6)} if fault is above_the_limit else set())
+    assert metrics.INVARIANTS_BROKEN.labels(which)._value.get() == before + 1
+    assert f"invariant_broken which={which}" in caplog.text
+
+
+def test_what_an_earlier_leader_started_is_bound_beyond_the_limit() -> None:
+    led = ledger()
+    led.add_machine("m1", "big", "north", False, 0.0, rostered=True)
+    one = job(led, team="red", task_count=9, vcpus=4.0)
+    led.on_report(report("m1", 1, *((f"req-1/{n}", n + 1, "running") for n in range(8))), 0.5)
+    assert len(one.bindings) == 8 and led.usage[one.team][0] == 32.0
+
+
+def test_a_start_that_is_not_wanted_any_more_is_withdrawn() -> None:
+    led = ready()
+    for name in ("m1", "m2"):
+        machine(led, name)
+    one = job(led, shape="gang", task_count=2, vcpus=6.0)
+    one.attempt = 5
+    for index, name in enumerate(("m1", "m2")):
+        led.bind(one, index, led.machines[name], 5, 0.0)
+    # An earlier attempt has completed: one of its tasks speaks for all.
+    led.on_report(report("m1", 2, ("req-1/0", 3, "exited", "done")), 1.0)
+    assert one.complete
+    assert verbs(led.on_report(report("m2", 2), 1.5)) == []
+    led.on_report(report("m2", 3), 3.0)
+    assert 1 not in one.bindings and led.machines["m2"].used == [0.0, 0.0, 0.0]
