--- a/src/salthead/coordination/ledger.py
+++ b/src/salthead/coordination/ledger.py
@@ -19,7 +19,7 @@
 from salthead.coordination import reports, strays, waiting
 from salthead.coordination.estimates import Arrivals, Estimates, Promptness
 from salthead.coordination.invariants import Invariants
-from salthead.coordination.lease import blind_s, surely_over
+from salthead.coordination.lease import blind_s
 from salthead.coordination.machine_room import MachineRoom
 from salthead.coordination.model import (
     BOOTING,
@@ -36,6 +36,7 @@
 )
 from salthead.coordination.pipelines import Pipelines
 from salthead.coordination.takeover import Takeover
+from salthead.coordination.worker_leases import WorkerLeases
 from salthead.coordination.zone_hooks import ZoneHooks
 from salthead.event_log import event
 from salthead.evidence.gate import Action, Fact, permits
@@ -101,12 +102,8 @@
         self.limits = limits
         self.token = token
         self.took_over = now
-        # An earlier leader may have answered workers until it lost the lead, and this one answers
-        # them before it has read the roster: no lease is counted from before this.
-        self.leases_from = now
+        self.leases = WorkerLeases(self, now)
         self.blind_s = blind_s(limits.workers.lease_s, limits.workers.cancel_s)
-        # Zones whose workers another node may be answering for this leader, and until when.
-        self.kept_until: dict[int, float] = {}
         self.counter = 0
         # Submission times are kept as times of day; here all else is in steady time.
         self.wall_ahead = 0.0 if wall is None else wall - now
@@ -505,7 +502,7 @@
         # says nothing of them. It had judged 135 machines lost that reported to the next leader.
         if permits(Action.JUDGE_LOST, self.facts() | WORKER_LEASE_OVER):
             for machine in self.machines.values():
-                if machine.phase == UP and now > self.worker_lease_over(machine):
+                if machine.phase == UP and now > self.leases.over_at(machine):
                     self._lose(machine, now)
         if self.loaded and not self.ready and self.takeover.look(now):
             self.ready = True
@@ -520,12 +517,6 @@
             )
             self.events.changed()
 
-    def worker_lease_over(self, machine: Machine) -> float:
-        """When the machine's worker has no tasks any more unless it is answered again."""
-        kept_until = self.kept_until.get(machine.zone, -math.inf)
-        answered = max(machine.answered, self.leases_from, kept_until)
-        return surely_over(answered, self.limits.workers.lease_s)
-
     def _lose(self, machine: Machine, now: float) -> None:
         # Whatever it still reports of this session is late news: a worker that
         # goes on does so with the next session and no tasks.
@@ -537,26 +528,6 @@
         machine.joined = False
         self.lose_tasks(machine, now, Proof.LEASE_OVER)
 
-    def keep_zone(self, area: str, until: float) -> bool:
-        """Count no lease of a zone from before ``until``; False if its tasks may not live on.
-
-        A cancelled job's tasks have to be gone in time, and nothing but the end of their leases
-        stops those behind a cut.
-        """
-        zone = self.zones.get(area)
-        if zone is None:
-            return False
-        workers = self.limits.workers
-        if workers.cancel_s < 2.0 * workers.lease_s:
-            return False  # a cancel just after a permission would come too late for the leases
-        self.kept_until[zone] = max(until, self.kept_until.get(zone, -math.inf))
-        return not any(
-            (job.cancel_requested or job.over == names.ABORTED) and binding.machine.zone == zone
-            for job in self.jobs.values()
-            if job.cancel_requested or job.over
-            for binding in job.bindings.values()
-        ) and not any(m.strays for m in self.machines.values() if m.zone == zone)
-
     def _end_partial_gangs(self, now: float) -> None:
         """Gangs of which an earlier leader had started only a part when it ended.
 
--- /dev/null
+++ b/src/salthead/coordination/worker_leases.py
@@ -0,0 +1,55 @@
+"""When a worker that is not answered any more certainly has no tasks left."""
+
+from __future__ import annotations
+
+import math
+from typing import TYPE_CHECKING
+
+from salthead.coordination.lease import surely_over
+from salthead.protocol import names
+
+if TYPE_CHECKING:
+    from salthead.coordination.ledger import Ledger
+    from salthead.coordination.model import Machine
+
+
+class WorkerLeases:
+    """The leases of all workers, as one leader has to count them. Times are steady, in seconds."""
+
+    def __init__(self, ledger: Ledger, now: float) -> None:
+        self.ledger = ledger
+        # An earlier leader may have answered workers until it lost the lead, and this one answers
+        # them before it has read the roster: no lease is counted from before this.
+        self.counted_from = now
+        # Zones whose workers another node may be answering for this leader, and until when.
+        self.kept_until: dict[int, float] = {}
+
+    def over_at(self, machine: Machine) -> float:
+        """When the machine's worker has no tasks any more unless it is answered again."""
+        kept_until = self.kept_until.get(machine.zone, -math.inf)
+        answered = max(machine.answered, self.counted_from, kept_until)
+        return surely_over(answered, self.ledger.limits.workers.lease_s)
+
+    def keep_zone(self, area: str, until: float) -> bool:
+        """Count no lease of a zone from before ``until``; False if its tasks may not live on.
+
+        A cancelled job's tasks have to be gone in time, and nothing but the end of their leases
+        stops those behind a cut.
+        """
+        zone = self.ledger.zones.get(area)
+        if zone is None:
+            return False
+        workers = self.ledger.limits.workers
+        if workers.cancel_s < 2.0 * workers.lease_s:
+            return False  # a cancel just after a permission would come too late for the leases
+        self.kept_until[zone] = max(until, self.kept_until.get(zone, -math.inf))
+        return not self._has_to_end(zone)
+
+    def _has_to_end(self, zone: int) -> bool:
+        """Whether anything in the zone is cancelled, or not this leader's to keep."""
+        return any(
+            (job.cancel_requested or job.over == names.ABORTED) and binding.machine.zone == zone
+            for job in self.ledger.jobs.values()
+            if job.cancel_requested or job.over
+            for binding in job.bindings.values()
+        ) or any(m.strays for m in self.ledger.machines.values() if m.zone == zone)
--- a/src/salthead/leader/job_records.py
+++ b/src/salthead/leader/job_records.py
@@ -71,7 +71,7 @@
             jobs=len(ledger.jobs),
             machines=len(ledger.machines),
             machine_types=len(ledger.machine_types),
-            leases_from=ledger.leases_from,
+            leases_from=ledger.leases.counted_from,
         )
 
     def load_parts(self, pages: dict[str, dict[str, Any]], stamps: dict[str, int]) -> None:
--- a/src/salthead/leader/zone_permissions.py
+++ b/src/salthead/leader/zone_permissions.py
@@ -39,13 +39,13 @@
         if term.link_loop is not None:
             permissions, _ = await term.store.rows(records.KEPT)
         self.earlier = {key: stamp for key, (_, stamp) in permissions.items()}
-        term.ledger.leases_from = term.now()
+        term.ledger.leases.counted_from = term.now()
         if term.link_loop is not None:
             # Whenever a leader ends, its peers miss it, and ask before there is a new one. Each
             # crash of a leader on prairie-ledger-hunt held the takeover up by a third of a lease.
             members &= {key.removeprefix(records.KEPT) for key in permissions}
         if members:
-            term.ledger.leases_from = counted_until(term.now(), term.clock.ttl)
+            term.ledger.leases.counted_from = counted_until(term.now(), term.clock.ttl)
 
     async def loop(self) -> None:
         """Answer what nodes ask."""
@@ -73,14 +73,16 @@
             return  # a zone that is kept would hold up the takeover for as long as the cut
         # Counted before it is allowed, so that whatever becomes of the write errs late.
         until = counted_until(term.now(), term.clock.ttl)
-        if term.ledger.keep_zone(str(value.get("area")), until):
+        if term.ledger.leases.keep_zone(str(value.get("area")), until):
             permission = {"token": term.token, "nonce": value.get("nonce")}
             await term.txn({}, [put(records.KEPT + member, permission)], urgent=True)
 
     async def forget_loop(self) -> None:
         """Drop earlier leaders' permissions once they are over, so that no takeover counts them."""
         while self.earlier:
-            await asyncio.sleep(max(0.0, self.term.ledger.leases_from - self.term.now()) + RETRY_S)
+            await asyncio.sleep(
+                max(0.0, self.term.ledger.leases.counted_from - self.term.now()) + RETRY_S
+            )
             key, stamp = next(iter(self.earlier.items()))
             try:
                 await self.term.txn({key: stamp}, [drop(key)], bulk=True)
--- a/src/salthead/zones/recovery.py
+++ b/src/salthead/zones/recovery.py
@@ -155,7 +155,7 @@
     def evidence(self, zone: int, now: float) -> Evidence:
         """The counts of a zone's machines by which it is judged."""
         machines, unheard, expired = self.sets.counts(zone)
-        kept = now < self.ledger.kept_until.get(zone, -1.0)
+        kept = now < self.ledger.leases.kept_until.get(zone, -1.0)
         return Evidence(machines, unheard, expired, kept)
 
     def _grow(self, now: float) -> None:
--- a/tests/test_cuts.py
+++ b/tests/test_cuts.py
@@ -106,7 +106,7 @@
     for sequence, at in reports:
         (found.links.command_answered if called else found.links.command_failed)(at - 0.5)
         led.on_report(report("m1", sequence, fencing_token=3), at)
-    assert led.worker_lease_over(found) == pytest.approx(lost_at, abs=0.02)
+    assert led.leases.over_at(found) == pytest.approx(lost_at, abs=0.02)
     led.tick(lost_at + 0.1)
     assert found.phase == LOST and led.ready
 
@@ -117,13 +117,13 @@
     led.on_report(report("m1", 5, fencing_token=3), 8.0)
     for sequence, over in ((5, 8.0 + LEASE_S), (6, LEASE_S)):
         reports.seen_elsewhere(led, "m1", (1, sequence), False, 9.0)
-        assert led.worker_lease_over(found) == pytest.approx(over, abs=0.02)
+        assert led.leases.over_at(found) == pytest.approx(over, abs=0.02)
     # One that has joined: the very next report, or it may have left for another reason.
     other = machine(led, "m2", 8.0)
     for sequence, unheard in ((3, 0), (2, 1)):
         reports.seen_elsewhere(led, "m2", (1, sequence), True, 9.0)
         assert other.links.unheard_answers == unheard
-        assert led.worker_lease_over(other) == pytest.approx(8.0 + LEASE_S, abs=0.02)
+        assert led.leases.over_at(other) == pytest.approx(8.0 + LEASE_S, abs=0.02)
 
 
 def test_a_takeover_places_what_no_silent_machine_can_be_running() -> None:
@@ -471,7 +471,7 @@
         await world.crash(name)
         while (leader := world.leader()) is None or not leader.term.ledger.loaded:
             await asyncio.sleep(0.05)
-        later = leader.term.ledger.leases_from - leader.term.ledger.took_over
+        later = leader.term.ledger.leases.counted_from - leader.term.ledger.took_over
         await asyncio.sleep(2.0)
         soon = "kept/n9" in world.state.keys
         await asyncio.sleep(6.0)
--- a/tests/test_days.py
+++ b/tests/test_days.py
@@ -503,7 +503,7 @@
         await world.crash(leader.settings.member)
         while (leader := world.leader()) is None or not leader.term.ledger.loaded:
             await asyncio.sleep(0.05)
-        return leader.term.ledger.leases_from - world.now(), leader.term.clock.ttl
+        return leader.term.ledger.leases.counted_from - world.now(), leader.term.clock.ttl
 
     ahead, ttl = run(day)
     assert ttl - 0.1 < ahead < ttl + 0.2
--- a/tests/test_ledger.py
+++ b/tests/test_ledger.py
@@ -428,7 +428,7 @@
         led.loaded = False
         assert led.on_report(report("m1", 9, fencing_token=6), 5.0) == [], "this renews its lease"
         led.add_machine("m1", "small", "north", False, 6.0, rostered=True)
-        led.leases_from, led.loaded = 6.0, True
+        led.leases.counted_from, led.loaded = 6.0, True
         led.tick(surely_over(5.0, led.limits.workers.lease_s))
         assert led.machines["m1"].phase == UP and not led.ready
 
@@ -522,14 +522,14 @@
             led.end_job(one, "aborted", 1.0)
         elif cancelled:
             led.request_cancel(one)
-        assert led.keep_zone("south", 30.0) == allowed
-        assert not led.keep_zone("nowhere", 30.0)
+        assert led.leases.keep_zone("south", 30.0) == allowed
+        assert not led.leases.keep_zone("nowhere", 30.0)
 
     def test_no_lease_of_a_kept_zone_is_counted_from_before_the_permission_ends(self) -> None:
         led = ready()
         machine(led, "m1", zone="south")
         machine(led, "m2")
-        assert led.keep_zone("south", 9.0)
+        assert led.leases.keep_zone("south", 9.0)
         lease_s = led.limits.workers.lease_s
         led.tick(surely_over(0.0, lease_s) + 0.1)
         assert led.machines["m1"].phase == UP and led.machines["m2"].phase == LOST
--- a/tests/test_meetings.py
+++ b/tests/test_meetings.py
@@ -194,7 +194,7 @@
     assert led.blind_s == blind_s(lease_s, cancel_s)
     # A node behind a cut: its last permission, and a lease after that; or it is given none.
     led.zones.intern("north")
-    allowed = led.keep_zone("north", 105.0)
+    allowed = led.leases.keep_zone("north", 105.0)
     assert allowed == (cancel_s >= 2.0 * lease_s)
     assert not allowed or ttl + 1.0 + surely_over(0.0, lease_s) < cancel_s
 
