--- a/tests/soak_faults.py
+++ b/tests/soak_faults.py
@@ -81,11 +81,22 @@
 
 @asynccontextmanager
 async def leader_back_without_types(local: SoakSetup, rng: random.Random, lasts_s: float) -> Undo:
-    """The same while the cloud's answers are slow."""
-    local.world.types_late_s = rng.uniform(0.3, 2.0)
+    """The same while the cloud's answers and direct commands are slow, and some machines hang.
+
+    So it is with thousands of machines, of which few have been called when the types arrive.
+    """
+    world = local.world
+    world.types_late_s = rng.uniform(0.3, 2.0)
+    world.commands = dict.fromkeys(ZONES, Mode.HOLD)
+    hung = _some(world, rng, 0.35)
+    for worker in hung:
+        worker.hung = True
     await _restart(local, _nodes(local, rng)[0], rng.uniform(0.0, 0.3))
     yield
-    local.world.types_late_s = 0.0
+    for worker in hung:
+        worker.hung = False
+    world.commands = dict.fromkeys(ZONES, Mode.PASS)
+    world.types_late_s = 0.0
 
 
 @asynccontextmanager
