--- a/src/salthead/coordination/ledger.py
+++ b/src/salthead/coordination/ledger.py
@@ -345,13 +345,16 @@
         """
         sound = self.invariants.may_bind(job, index, machine, granted)
         binding = Binding(job, index, attempt, machine, job.need, job.team, since=now)
+        binding.barred = not sound
+        if index in job.bindings or (job.job_id, index) in machine.bindings:
+            # Put in the place of the one that there is, that one would never be released.
+            return binding
         machine.bindings[(job.job_id, index)] = binding
         machine.unchanged = False
         job.bindings[index] = binding
         self.ranks[job.rank] += 1
         self.book(machine, job.need, job.team, 1.0)
         if not sound:
-            binding.barred = True
             self.want_stop(binding, 0.0)
         return binding
 
--- a/tests/test_invariants.py
+++ b/tests/test_invariants.py
@@ -131,3 +131,12 @@
     assert verbs(led.on_report(report("m2", 2), 1.5)) == []
     led.on_report(report("m2", 3), 3.0)
     assert 1 not in one.bindings and led.machines["m2"].used == [0.0, 0.0, 0.0]
+
+
+def test_a_task_that_is_bound_already_stays_as_it_is(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(Invariants, "strict", False)
+    led = a_ledger()
+    bound_twice(led)
+    one = led.jobs["req-1"]
+    assert one.bindings[0].machine.name == "m2" and not led.machines["m1"].bindings
+    assert led.usage[one.team][0] == 4.0 and led.machines["m1"].used == [0.0, 0.0, 0.0]
