--- a/tests/link_setup.py
+++ b/tests/link_setup.py
@@ -7,7 +7,7 @@
 
 import cbor2
 from tornado.httpserver import HTTPServer
-from tornado.web import RequestHandler
+from tornado.web import Application, RequestHandler
 
 from link_proxy import LinkProxy
 from local_setup import LocalSetup, end_other_tasks, settings_file
@@ -32,6 +32,13 @@
         self.finish(encode(answer.body))
 
 
+def listen_for(world: Any, worker: str) -> tuple[HTTPServer, int]:
+    """Open a worker's own address; its port."""
+    routes = [(r"/do", Direct, {"world": world, "worker": worker})]
+    served = Application(routes, log_function=lambda handler: None).listen(0, "127.0.0.1")
+    return served, next(iter(served._sockets.values())).getsockname()[1]
+
+
 def address_of(endpoint: str) -> tuple[str, int]:
     """Host and port."""
     host, _, port = endpoint.rpartition(":")
--- a/tests/soak_world.py
+++ b/tests/soak_world.py
@@ -13,11 +13,10 @@
 
 import cbor2
 from tornado.httpserver import HTTPServer
-from tornado.web import Application
 
 from helpers import LIMITS, given, spec
 from link_proxy import LinkProxy, Mode
-from link_setup import Direct, LinkSetup, address_of
+from link_setup import LinkSetup, address_of, listen_for
 from local_setup import LocalWorld
 from salthead.protocol.messages import Submission
 from salthead.transport.client import Answer, Caller, Unanswered
@@ -114,12 +113,8 @@
     def endpoint_of(self, worker: Worker) -> str:
         """The worker's own address."""
         if worker.name not in self.endpoints:
-            served = Application(
-                [(r"/do", Direct, {"world": self, "worker": worker.name})],
-                log_function=lambda handler: None,
-            ).listen(0, "127.0.0.1")
+            served, port = listen_for(self, worker.name)
             self.listening.append(served)
-            port = next(iter(served._sockets.values())).getsockname()[1]
             self.endpoints[worker.name] = f"127.0.0.1:{port}"
         return self.endpoints[worker.name]
 
--- a/tests/test_cut_loopback.py
+++ b/tests/test_cut_loopback.py
@@ -14,12 +14,11 @@
 import cbor2
 import pytest
 from tornado.httpserver import HTTPServer
-from tornado.web import Application
 
 from helpers import LIMITS, given, spec
 from history import AnswerHistory
 from link_proxy import LinkProxy, Mode
-from link_setup import Direct, LinkSetup, address_of
+from link_setup import LinkSetup, address_of, listen_for
 from salthead.transport.client import Answer, Caller
 from standins import Worker
 from test_zone_loopback import FAST, LocalZones
@@ -83,12 +82,8 @@
         """The worker's own address, behind a proxy: its network tells the zone."""
         if worker.name not in self.endpoints:
             self.endpoints[worker.name] = ""
-            served = Application(
-                [(r"/do", Direct, {"world": self, "worker": worker.name})],
-                log_function=lambda handler: None,
-            ).listen(0, "127.0.0.1")
+            served, port = listen_for(self, worker.name)
             self.listening.append(served)
-            port = next(iter(served._sockets.values())).getsockname()[1]
             proxy = LinkProxy("127.0.0.1", port)
             self.commands[worker.zone].append(proxy)
             host = f"127.0.{2 + ZONES.index(worker.zone)}.{len(self.endpoints)}"
