--- /dev/null
+++ b/tests/soak_faults.py
@@ -0,0 +1,256 @@
+"""Faults for a soak, drawn from one seeded generator, and how each is brought about and undone."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+from collections.abc import AsyncIterator, Callable
+from contextlib import asynccontextmanager
+from dataclasses import dataclass
+
+from link_proxy import LinkProxy, Mode, Way
+from soak_world import ZONES, SoakSetup, SoakWorld
+from standins import Worker
+
+LASTS_S = (0.3, 1.0, 2.5, 5.0, 8.0)  # around the peers' grants, the lead's and workers' leases
+GAP_S = (0.2, 3.5)  # between the beginnings of two faults: two or three overlap
+FIRST_AT_S = 5.0  # so that there are machines and tasks to lose
+
+
+@dataclass(frozen=True)
+class Fault:
+    """One fault: when it begins, for how long it lasts, and a seed for what it chooses."""
+
+    at_s: float
+    kind: str
+    lasts_s: float
+    seed: int
+
+    def __str__(self) -> str:
+        return f"{self.at_s:.2f} s {self.kind} for {self.lasts_s} s (seed {self.seed})"
+
+
+def plan(seed: int, seconds: float) -> list[Fault]:
+    """The faults of a seed."""
+    rng = random.Random(seed)
+    faults = []
+    at_s = FIRST_AT_S
+    while at_s < seconds:
+        lasts_s, choice = rng.choice(LASTS_S), rng.randrange(1_000_000)
+        faults.append(Fault(round(at_s, 2), rng.choice(sorted(KINDS)), lasts_s, choice))
+        at_s += rng.uniform(*GAP_S)
+    return faults
+
+
+async def play(local: SoakSetup, faults: list[Fault]) -> None:
+    """All faults at their times; returns when the last is over."""
+    began = asyncio.get_running_loop().time()
+
+    async def one(fault: Fault) -> None:
+        await asyncio.sleep(max(0.0, began + fault.at_s - asyncio.get_running_loop().time()))
+        async with KINDS[fault.kind](local, random.Random(fault.seed), fault.lasts_s):
+            await asyncio.sleep(fault.lasts_s)
+
+    await asyncio.gather(*(one(fault) for fault in faults))
+
+
+Undo = AsyncIterator[None]
+
+
+def _nodes(local: SoakSetup, rng: random.Random) -> list[int]:
+    """The leader first, then the others in some order."""
+    others = list(range(len(local.addresses)))
+    rng.shuffle(others)
+    leader = local.leader()
+    return others if leader is None else [leader, *(n for n in others if n != leader)]
+
+
+async def _restart(local: SoakSetup, node: int, after_s: float) -> None:
+    if node in local.processes:
+        local.kill(node)
+        await asyncio.sleep(after_s)
+        local.start(node)
+
+
+@asynccontextmanager
+async def leader_back_at_once(local: SoakSetup, rng: random.Random, lasts_s: float) -> Undo:
+    """The leader ends and is back within a fraction of a second."""
+    await _restart(local, _nodes(local, rng)[0], rng.uniform(0.0, 0.5))
+    yield
+
+
+@asynccontextmanager
+async def leader_back_without_types(local: SoakSetup, rng: random.Random, lasts_s: float) -> Undo:
+    """The same while the cloud's answers are slow."""
+    local.world.types_late_s = rng.uniform(0.3, 2.0)
+    await _restart(local, _nodes(local, rng)[0], rng.uniform(0.0, 0.3))
+    yield
+    local.world.types_late_s = 0.0
+
+
+@asynccontextmanager
+async def leader_gone(local: SoakSetup, rng: random.Random, lasts_s: float) -> Undo:
+    """The leader ends for a while."""
+    await _restart(local, _nodes(local, rng)[0], lasts_s)
+    yield
+
+
+@asynccontextmanager
+async def leaders_in_series(local: SoakSetup, rng: random.Random, lasts_s: float) -> Undo:
+    """Whoever leads ends, four times."""
+    for _ in range(4):
+        await _restart(local, _nodes(local, rng)[0], rng.uniform(0.0, 0.3))
+        await asyncio.sleep(rng.uniform(0.3, 2.0))
+    yield
+
+
+@asynccontextmanager
+async def all_end(local: SoakSetup, rng: random.Random, lasts_s: float) -> Undo:
+    """All controllers end, and come back one by one."""
+    await asyncio.gather(
+        *(_restart(local, n, lasts_s + rng.uniform(0.0, 1.0)) for n in _nodes(local, rng))
+    )
+    yield
+
+
+@asynccontextmanager
+async def paused(local: SoakSetup, rng: random.Random, lasts_s: float) -> Undo:
+    """A controller, mostly the leader, stands still while its clocks run."""
+    node = _nodes(local, rng)[0 if rng.random() < 0.7 else 1]
+    if node in local.processes:
+        local.pause(node)
+    yield
+    if node in local.processes:
+        local.resume(node)
+
+
+@asynccontextmanager
+async def state_down(local: SoakSetup, rng: random.Random, lasts_s: float) -> Undo:
+    """The state service is down for all; leases have their full time afterwards."""
+    local.world.state.down = True
+    yield
+    local.world.state.back()
+
+
+@asynccontextmanager
+async def state_refuses_one(local: SoakSetup, rng: random.Random, lasts_s: float) -> Undo:
+    """The state service refuses one controller, mostly the leader."""
+    node = _nodes(local, rng)[0 if rng.random() < 0.7 else 1]
+    local.world.refused_nodes.add(node)
+    yield
+    local.world.refused_nodes.discard(node)
+
+
+@asynccontextmanager
+async def cloud_down(local: SoakSetup, rng: random.Random, lasts_s: float) -> Undo:
+    """The cloud's interface is down."""
+    local.world.cloud.down = True
+    yield
+    local.world.cloud.down = False
+
+
+@asynccontextmanager
+async def late_writes(local: SoakSetup, rng: random.Random, lasts_s: float) -> Undo:
+    """Some transactions are carried out late, or at once without an answer."""
+    local.world.late_writes, local.world.writes_at_once = 0.3, rng.random() < 0.5
+    yield
+    local.world.late_writes = 0.0
+
+
+@asynccontextmanager
+async def late_copies(local: SoakSetup, rng: random.Random, lasts_s: float) -> Undo:
+    """Of some reports copies arrive at all controllers later."""
+    local.world.copies = 0.3
+    yield
+    local.world.copies = 0.0
+
+
+@asynccontextmanager
+async def link_cut(local: SoakSetup, rng: random.Random, lasts_s: float) -> Undo:
+    """One direction of one kind of link is cut, held or slow."""
+    node, other = _nodes(local, rng)[:2]
+    zone = rng.choice(ZONES)
+    proxies: list[LinkProxy] = rng.choice(
+        [
+            [local.state[node]],
+            [local.peers[node, other]],
+            [proxy for link, proxy in local.peers.items() if node in link],
+            [local.world.reports[zone, node]],
+            [local.world.reports[zone, n] for n in range(len(local.addresses))],
+            [local.world.reports[one, node] for one in ZONES],
+        ]
+    )
+    both, delayed = rng.random() < 0.3, rng.random() < 0.2
+    mode, forth = rng.choice((Mode.DROP, Mode.HOLD)), rng.random() < 0.5
+    ways: list[Way] = [
+        way
+        for proxy in proxies
+        for way, chosen in ((proxy.to_target, forth), (proxy.from_target, not forth))
+        if both or chosen
+    ]
+    for way in ways:
+        if delayed:
+            way.delay_s = 0.5
+        else:
+            way.set(mode)
+    yield
+    for way in ways:
+        way.delay_s = 0.0
+        way.set(Mode.PASS)
+
+
+@asynccontextmanager
+async def commands_cut(local: SoakSetup, rng: random.Random, lasts_s: float) -> Undo:
+    """Direct commands to a zone are lost, or arrive late."""
+    zone = rng.choice(ZONES)
+    local.world.commands[zone] = rng.choice((Mode.DROP, Mode.HOLD))
+    yield
+    local.world.commands[zone] = Mode.PASS
+
+
+@asynccontextmanager
+async def machines_die(local: SoakSetup, rng: random.Random, lasts_s: float) -> Undo:
+    """A few machines are gone."""
+    for worker in _some(local.world, rng, 0.15):
+        if local.world.cloud.hosts.pop(worker.name, None) is not None:
+            worker.end()
+    yield
+
+
+def _some(world: SoakWorld, rng: random.Random, share: float) -> list[Worker]:
+    there = sorted(world.cloud.hosts.values(), key=lambda worker: worker.name)
+    return rng.sample(there, max(1, int(share * len(there)))) if there else []
+
+
+def _machines(flag: str) -> Callable[[SoakSetup, random.Random, float], object]:
+    @asynccontextmanager
+    async def some_machines(local: SoakSetup, rng: random.Random, lasts_s: float) -> Undo:
+        chosen = _some(local.world, rng, rng.choice((0.1, 0.35)))
+        for worker in chosen:
+            setattr(worker, flag, True)
+        yield
+        for worker in chosen:
+            setattr(worker, flag, False)
+
+    return some_machines
+
+
+KINDS = {
+    one.__name__: one
+    for one in (
+        leader_back_at_once,
+        leader_back_without_types,
+        leader_gone,
+        leaders_in_series,
+        all_end,
+        paused,
+        state_down,
+        state_refuses_one,
+        cloud_down,
+        late_writes,
+        late_copies,
+        link_cut,
+        commands_cut,
+        machines_die,
+    )
+} | {f"machines_{flag}": _machines(flag) for flag in ("hung", "deaf", "mute")}
