--- a/review/lib/balancer.py
+++ b/review/lib/balancer.py
@@ -51,13 +51,12 @@
         for n in nodes[:3]:
             try:
                 async with asyncio.timeout(ACCEPT_S):
-                    _, writer = await asyncio.open_connection("127.0.0.1", self.ports[n])
-                writer.close()
+                    connection = await asyncio.open_connection("127.0.0.1", self.ports[n])
             except (OSError, TimeoutError):
                 continue  # refused: the next healthy node
             self.open[n] += 1
             try:
-                status, answer = await call(self.ports[n], method, path, body, timeout)
+                status, answer = await call(self.ports[n], method, path, body, timeout, connection)
             finally:
                 self.open[n] -= 1
             return n, status, answer
--- a/review/lib/wire.py
+++ b/review/lib/wire.py
@@ -80,14 +80,26 @@
             writer.close()
 
 
+Connection = tuple[asyncio.StreamReader, asyncio.StreamWriter]
+
+
 async def call(
-    port: int, method: str, path: str, body: Any = None, timeout: float = 5.0
+    port: int,
+    method: str,
+    path: str,
+    body: Any = None,
+    timeout: float = 5.0,
+    connection: Connection | None = None,
 ) -> tuple[int, Any]:
-    """Send one request on a connection of its own; status 0 if there is no answer in time."""
-    writer = None
+    """Send one request on a connection of its own; status 0 if there is no answer in time.
+
+    ``connection``: one that is open already; it is closed after the request.
+    """
+    reader, writer = connection or (None, None)
     try:
         async with asyncio.timeout(timeout):
-            reader, writer = await asyncio.open_connection("127.0.0.1", port)
+            if reader is None or writer is None:
+                reader, writer = await asyncio.open_connection("127.0.0.1", port)
             payload = b"" if method == "GET" else cbor2.dumps({} if body is None else body)
             writer.write(
                 f"{method} {path} HTTP/1.1\r\nHost: 127.0.0.1:{port}\r\n"
