--- a/review/2/case.py
+++ b/review/2/case.py
@@ -12,7 +12,7 @@
 ROOT = FOLDER.parents[1]
 sys.path[:0] = [str(ROOT / "review" / "lib"), str(ROOT / "target" / "deps")]
 
-from cluster import BROKEN, HELD, PRAIRIE, Cluster, CouldNotRun, main  # noqa: E402
+from cluster import BROKEN, HELD, PRAIRIE, Cluster, CouldNotRun, main, millis  # noqa: E402
 from state import NO_ANSWER, State  # noqa: E402
 
 LATE_S = 8.0  # how late the second request is carried out; the pages' days have 2 to 12 s
@@ -61,8 +61,8 @@
     def carry_out(self) -> None:
         self.carried_out_at = time.monotonic()
         self._end_lease(int(self.held_delete.split("/")[2]))
-        late = f"{self.carried_out_at - self.delete_sent_at:.1f}"
-        self.note("carried out late", request=f"DELETE {self.held_delete}", late_s=late)
+        late = millis(self.carried_out_at - self.delete_sent_at)
+        self.note("carried out late", request=f"DELETE {self.held_delete}", late_ms=late)
 
 
 async def case() -> int:
@@ -101,7 +101,7 @@
         )
         if c.trouble:
             await c.until("the late end", lambda: state.carried_out_at is not None, 30.0)
-            await c.until("the next leader", lambda: c.leader() in (1, 2), 10.0)
+            await c.until("the next leader", lambda: c.leader() in (1, 2), 9.0)
             c.note("elected", node=c.names[c.leader()])
             await asyncio.sleep(0.15)  # the user cancels a moment later
         else:
@@ -134,9 +134,9 @@
             c.note(
                 "BROKEN went_back",
                 node=c.names[n],
-                sent=f"{sent:.3f}",
+                sent_ms=millis(sent),
                 phase=phase,
-                told_aborted_at=f"{told_at:.3f}",
+                told_aborted_ms=millis(told_at),
             )
         print(f"{len(older)} questions answered otherwise after the user was told aborted")
         return BROKEN if older else HELD
--- a/review/3/case.py
+++ b/review/3/case.py
@@ -12,7 +12,7 @@
 ROOT = FOLDER.parents[1]
 sys.path[:0] = [str(ROOT / "review" / "lib"), str(ROOT / "target" / "deps")]
 
-from cluster import BROKEN, HELD, MOANA, Cluster, CouldNotRun, main  # noqa: E402
+from cluster import BROKEN, HELD, MOANA, Cluster, CouldNotRun, main, millis  # noqa: E402
 from state import NO_ANSWER, State  # noqa: E402
 
 LOST = 2  # transactions whose answers are lost, one after the other
@@ -101,9 +101,9 @@
             c.note(
                 "BROKEN went_back",
                 node=c.names[n],
-                sent=f"{sent:.3f}",
+                sent_ms=millis(sent),
                 phase=phase,
-                told_aborted_at=f"{first_told:.3f}",
+                told_aborted_ms=millis(first_told),
             )
         print(f"{len(told)} answers aborted, {len(older)} later questions answered otherwise")
         return BROKEN if older else HELD
--- a/review/lib/cluster.py
+++ b/review/lib/cluster.py
@@ -60,6 +60,11 @@
 }
 
 
+def millis(seconds: float) -> int:
+    """Return a time as whole milliseconds, which no reader takes for an address."""
+    return round(seconds * 1000)
+
+
 class CouldNotRun(Exception):
     """The case did not get as far as the rule that it checks."""
 
@@ -106,7 +111,7 @@
     def note(self, what: str, **facts: Any) -> None:
         """Write one line to the record."""
         text = " ".join(f"{k}={v}" for k, v in facts.items())
-        self.record.write(f"{self.now():8.3f} {what} {text}\n")
+        self.record.write(f"{millis(self.now()):7d} ms {what} {text}\n")
         self.record.flush()
 
     async def __aenter__(self) -> Cluster:
@@ -238,7 +243,7 @@
             "user",
             node=self.names[n],
             request=f"{method} {path}",
-            sent=f"{sent:.3f}",
+            sent_ms=millis(sent),
             status=status,
             answer=answer,
         )
