Log and count revocations of a controller's leases

Cause: when the answer to a revocation is lost, neither the log nor the metrics show that one was sent, and lead_taken does not name the lease. So a term under a lease whose revocation is still on its way looks like any other, and the two explanations of two leaders (a revocation that is carried out late, or a transaction on the leader's key that is) can't be told apart.

Change: the events lease_revocation_sent and lease_revocation_result, lease_id in lead_taken, and salthead_lease_revocations_total{result}. A lease that a controller has requested is an object of its own (state_store/held_lease.py), in place of an id and a time that the campaign, the elected term and the term each carried. No change of behaviour.

--- a/src/salthead/controller/controller.py
+++ b/src/salthead/controller/controller.py
@@ -130,17 +130,19 @@
 
     async def lead(self, elected: ElectedTerm) -> None:
         """Lead the elected term until it ends."""
+        lease = elected.lease
         event(
             log,
             "lead_taken",
             member=self.settings.member,
             fencing_token=elected.fencing_token,
             revision=elected.revision,
-            asked_at=elected.lease_sent_at,
+            lease_id=lease.lease_id,
+            asked_at=lease.requested_at,
         )
-        clock = leader_lease.LeaseClock(elected.ttl)
-        term = Term(self, elected.fencing_token, elected.revision, elected.lease_id, clock)
-        term.clock.record_renewal(elected.lease_sent_at)
+        clock = leader_lease.LeaseClock(lease.ttl)
+        clock.record_renewal(lease.requested_at)
+        term = Term(self, elected.fencing_token, elected.revision, lease, clock)
         self.leader_view.term = term
         metrics.LEADING.set(1)
         metrics.FENCING_TOKEN.set(elected.fencing_token)
@@ -154,7 +156,7 @@
                 "lead_ended",
                 member=self.settings.member,
                 fencing_token=elected.fencing_token,
-                after_s=self.now() - elected.lease_sent_at,
+                after_s=self.now() - lease.requested_at,
             )
 
     async def overview(self) -> Overview | dict[str, Any]:
--- a/src/salthead/controller/election.py
+++ b/src/salthead/controller/election.py
@@ -31,6 +31,7 @@
     VersionedValue,
     put,
 )
+from salthead.state_store.held_lease import HeldLease, RevocationReason
 from salthead.transport.client import UnansweredError
 
 LEADER_WATCH_S = 8.0
@@ -46,9 +47,7 @@
 
     fencing_token: int
     revision: int  # of the leader's key
-    lease_id: int
-    lease_sent_at: float  # when the lease was requested; it counts from then
-    ttl: float
+    lease: HeldLease
 
 
 @dataclass
@@ -56,8 +55,7 @@
     """This controller's latest attempt to become the leader."""
 
     nonce: str = ""  # empty before the first campaign and after the end of a term
-    lease_id: int = 0
-    lease_sent_at: float = 0.0  # when the lease was requested; it counts from then
+    lease: HeldLease | None = None
 
 
 class Election:
@@ -131,16 +129,9 @@
         return record.member == self.member and record.run_id != self.run_id
 
     async def _lead_term(self, row: VersionedValue, record: LeaderRecord) -> None:
+        assert self.campaign.lease is not None
         self.leader_view.member = self.member
-        await self.lead(
-            ElectedTerm(
-                record.fencing_token,
-                row.revision,
-                self.campaign.lease_id,
-                self.campaign.lease_sent_at,
-                self.ttl,
-            )
-        )
+        await self.lead(ElectedTerm(record.fencing_token, row.revision, self.campaign.lease))
         self.campaign.nonce = ""
         self.leader_view.member = None
         await self.context.sleep_with_jitter(RETRY_S)
@@ -156,22 +147,22 @@
         self.leader_view.member = None
         own_key = record is not None and record.member == self.member
         token_row = await state_store.get(records.FENCING_TOKEN, urgent=True)
-        if self.leader_stickiness.campaign_indeterminate:
+        if self.leader_stickiness.campaign_indeterminate and self.campaign.lease is not None:
             # Once its lease is revoked, the earlier request can't be executed any more.
-            await state_store.revoke_lease(self.campaign.lease_id)
+            await self.campaign.lease.revoke(RevocationReason.CAMPAIGN_INDETERMINATE)
             self.leader_stickiness.campaign_indeterminate = False
         if not self._may_become_leader(own_key, token_row is None):
             await self.context.sleep_with_jitter(RETRY_S)
             return
-        self.campaign.lease_sent_at = self.context.now()
-        self.campaign.lease_id = await state_store.grant_lease(self.ttl)
+        lease = await HeldLease.request(state_store, self.ttl, self.context.now)
+        self.campaign.lease = lease
         # Checked again: the vote may have been withheld during the calls above. Nothing is awaited
         # between this check and the request to become the leader.
         if not self._may_become_leader(own_key, token_row is None):
-            await state_store.revoke_lease(self.campaign.lease_id)
+            await lease.revoke(RevocationReason.VOTE_WITHHELD)
             await self.context.sleep_with_jitter(RETRY_S)
             return
-        await self._become_leader(row, token_row)
+        await self._become_leader(row, token_row, lease)
 
     def _may_become_leader(self, own_key: bool, first_ever: bool) -> bool:
         """Return whether a campaign is permitted.
@@ -188,13 +179,12 @@
         return permits(Action.BECOME_LEADER, held)
 
     async def _become_leader(
-        self, row: VersionedValue | None, token_row: VersionedValue | None
+        self, row: VersionedValue | None, token_row: VersionedValue | None, lease: HeldLease
     ) -> None:
         """Write the leader's key and the next fencing token in one transaction."""
-        campaign = self.campaign
         fencing_token = next_fencing_token(token_row.value if token_row else None)
-        campaign.nonce = uuid.uuid4().hex[:12]
-        leader = LeaderRecord(self.member, self.run_id, fencing_token, campaign.nonce)
+        self.campaign.nonce = uuid.uuid4().hex[:12]
+        leader = LeaderRecord(self.member, self.run_id, fencing_token, self.campaign.nonce)
         self.leader_stickiness.campaign_indeterminate = True
         try:
             await self.context.state_store.transaction(
@@ -203,7 +193,7 @@
                     records.FENCING_TOKEN: token_row.revision if token_row else 0,
                 },
                 [
-                    put(records.LEADER, msgspec.to_builtins(leader), campaign.lease_id),
+                    put(records.LEADER, msgspec.to_builtins(leader), lease.lease_id),
                     put(
                         records.FENCING_TOKEN,
                         msgspec.to_builtins(FencingTokenRecord(fencing_token)),
--- a/src/salthead/leader/context.py
+++ b/src/salthead/leader/context.py
@@ -11,6 +11,7 @@
 from salthead.settings import Limits, StateLimits
 from salthead.state_store import records
 from salthead.state_store.client import Change, ConflictError, StateStore
+from salthead.state_store.held_lease import HeldLease
 from salthead.transport.client import UnansweredError
 
 # Loops sleep for this many times the duration of their last round, which leaves 90 % of the
@@ -24,7 +25,7 @@
 
     fencing_token: int
     revision: int  # revision of the leader key, on which every write of the term is conditioned
-    lease_id: int
+    lease: HeldLease  # the leader key is attached to it
     lease_clock: LeaseClock
     ledger: Ledger
     state_store: StateStore
--- a/src/salthead/leader/leadership.py
+++ b/src/salthead/leader/leadership.py
@@ -54,7 +54,7 @@
                 return
             sent_at = self.context.now()
             try:
-                await self.context.state_store.renew_lease(self.context.lease_id, timeout=ttl / 4)
+                await self.context.lease.renew(timeout=ttl / 4)
                 self.context.lease_clock.record_renewal(sent_at)
                 self.renewal_failed = False
                 await asyncio.sleep(ttl / 5)
--- a/src/salthead/leader/term.py
+++ b/src/salthead/leader/term.py
@@ -36,6 +36,7 @@
 from salthead.policy import PartialCutPolicy
 from salthead.protocol.messages import Command, Heartbeat, JobStatus
 from salthead.state_store.client import RETRYABLE_ERRORS, RequestRefusedError
+from salthead.state_store.held_lease import HeldLease, RevocationReason
 from salthead.transport.client import UnansweredError
 
 if TYPE_CHECKING:  # these modules load libraries that only some policies need
@@ -94,19 +95,19 @@
         controller: ControllerInterface,
         fencing_token: int,
         revision: int,
-        lease_id: int,
+        lease: HeldLease,
         clock: LeaseClock,
     ) -> None:
         """Create a term.
 
-        ``revision`` is that of the leader key, which is attached to the lease ``lease_id``.
+        ``revision`` is that of the leader key, which is attached to ``lease``.
         """
         self.fencing_token = fencing_token
         self.ledger = Ledger(controller.limits, fencing_token, controller.now(), time.time())
         self.context = TermContext(
             fencing_token=fencing_token,
             revision=revision,
-            lease_id=lease_id,
+            lease=lease,
             lease_clock=clock,
             ledger=self.ledger,
             state_store=controller.state_store,
@@ -230,7 +231,7 @@
                 task.cancel()
             await asyncio.gather(*tasks, *self.background.tasks, return_exceptions=True)
             with contextlib.suppress(UnansweredError, RequestRefusedError):
-                await self.context.state_store.revoke_lease(self.context.lease_id)
+                await self.context.lease.revoke(RevocationReason.TERM_ENDED)
 
     async def work_loop(self) -> None:
         """Load the records of earlier terms, then run the loops that act on the cluster."""
--- a/src/salthead/metrics.py
+++ b/src/salthead/metrics.py
@@ -22,6 +22,12 @@
 FENCING_TOKEN = Gauge(
     "salthead_token", "Token of the term led by this controller", registry=REGISTRY
 )
+LEASE_REVOCATIONS = Counter(
+    "salthead_lease_revocations_total",
+    "Revocations sent for leases of this controller, by result",
+    ["result"],
+    registry=REGISTRY,
+)
 MACHINES = Gauge("salthead_machines", "Machines by phase", ["phase"], registry=REGISTRY)
 WAITING_TASKS = Gauge("salthead_waiting_tasks", "Tasks with no machine", registry=REGISTRY)
 BLOCKED_JOBS = Gauge(
--- a/tests/wire_examples.py
+++ b/tests/wire_examples.py
@@ -41,6 +41,7 @@
 from salthead.scheduling import scheduling_pass  # noqa: E402
 from salthead.state_store import records  # noqa: E402
 from salthead.state_store.done_tasks import DoneTaskLayout  # noqa: E402
+from salthead.state_store.held_lease import HeldLease  # noqa: E402
 from salthead.transport.client import Answer  # noqa: E402
 from salthead.transport.http import Reply, Request  # noqa: E402
 from salthead.zones import records as zone_records  # noqa: E402
@@ -233,7 +234,8 @@
         settings("n0", ("n1",)), random.Random(1), lambda: NOW, recorder.dial, policy
     )
     controller.machine_types.update({found.name: found for found in FLAVORS})
-    term = Term(controller, FENCING_TOKEN, REVISION, LEASE, LeaseClock(1e9))
+    lease = HeldLease(controller.state_store, LEASE, NOW, 1e9)
+    term = Term(controller, FENCING_TOKEN, REVISION, lease, LeaseClock(lease.ttl))
     term.clock.record_renewal(NOW)
     ledger = term.ledger
     ledger.loaded = ledger.ready = True
--- a/tools/profile_costs.py
+++ b/tools/profile_costs.py
@@ -48,6 +48,7 @@
 from salthead.protocol import wire_names  # noqa: E402
 from salthead.protocol.messages import Heartbeat, encode  # noqa: E402
 from salthead.scheduling import scheduling_pass  # noqa: E402
+from salthead.state_store.held_lease import HeldLease  # noqa: E402
 
 FENCING_TOKEN = 7
 REVISION = 1_000_000  # returned for every transaction of the profiled term
@@ -179,7 +180,8 @@
         self.leader = self._controller("n0", "n1", self.endpoints[3])
         self.follower = self._controller("n1", "n0", self.endpoints[1])
         self.follower.leader_view.member = "n0"
-        self.term = Term(self.leader, FENCING_TOKEN, 1, 1, LeaseClock(LEASE_S))
+        lease = HeldLease(self.leader.state_store, 1, 0.0, LEASE_S)
+        self.term = Term(self.leader, FENCING_TOKEN, 1, lease, LeaseClock(lease.ttl))
         self.term.clock.record_renewal(self.leader.now())
         self.ledger = self.term.ledger
         fill_ledger(self.ledger, machines, self.leader.now())
