Lead under no lease whose revocation was sent

For about a second a former leader answered users and workers as the leader, and called a job running that the next leader had confirmed as cancelled.

Cause: a request without an answer may be carried out at any later time. A controller whose campaign had no answer revoked the campaign's lease; when that had no answer either, it read the leader's key again, found its own nonce there, and led, under the lease whose end was on its way. The lease's clock counts on the TTL alone, so that nothing but the next renewal told it of the end.

The other explanation, a transaction on the leader's key that is carried out late, is ruled out: the key went with the DELETE, and all later transactions were conditional on it.

Why it works: the key's lease ends early only by a revocation, and only its holder sends one. A holder that has sent one never acts on the lease, so it doesn't matter when, or how often, it is carried out.

--- a/src/salthead/controller/election.py
+++ b/src/salthead/controller/election.py
@@ -50,12 +50,12 @@
     lease: HeldLease
 
 
-@dataclass
+@dataclass(frozen=True, slots=True)
 class Campaign:
-    """This controller's latest attempt to become the leader."""
+    """A request of this controller to become the leader."""
 
-    nonce: str = ""  # empty before the first campaign and after the end of a term
-    lease: HeldLease | None = None
+    nonce: str
+    lease: HeldLease  # the leader's key is attached to it
 
 
 class Election:
@@ -75,30 +75,36 @@
         self.leader_stickiness = leader_stickiness
         self.lead = lead
         self.ttl = leader_lease.leader_ttl(context.limits.workers.lease_s)
-        self.campaign = Campaign()
+        self.campaign: Campaign | None = None  # the latest one
 
     async def loop(self) -> None:
         """Follow the leader, campaign when there is none, and lead after winning a campaign."""
         while True:
             try:
-                row = await self.context.state_store.get(records.LEADER, urgent=True)
-                record = None if row is None else decode_leader(row.value)
-                if row is not None and record is not None and self._won_campaign(record):
-                    await self._lead_term(row, record)
-                elif (
-                    row is not None
-                    and record is not None
-                    and not self._is_from_own_ended_process(record)
-                ):
-                    await self._follow_leader(row, record)
-                else:
-                    await self._campaign(row, record)
+                await self._act_on_leader_key()
             except ConflictError:
                 await self.context.sleep_with_jitter(CONFLICT_RETRY_S)
             except RETRYABLE_ERRORS as error:
                 self.context.log_throttled("election", error)
                 await self.context.sleep_with_jitter(ERROR_RETRY_S)
 
+    async def _act_on_leader_key(self) -> None:
+        """Read the leader's key, then lead, follow the leader or campaign."""
+        row = await self.context.state_store.get(records.LEADER, urgent=True)
+        if row is None:
+            await self._campaign(None, None)
+            return
+        record = decode_leader(row.value)
+        campaign = self._campaign_of(record)
+        if campaign is not None and campaign.lease.revocation_sent:
+            await self._remove_own_key(campaign)
+        elif campaign is not None:
+            await self._lead_term(row, record, campaign)
+        elif self._is_from_own_ended_process(record):
+            await self._campaign(row, record)
+        else:
+            await self._follow_leader(row, record)
+
     async def withhold_vote(self, member: str) -> bool:
         """Withhold this controller's vote for a leader that lost the state service.
 
@@ -119,23 +125,41 @@
             self.context.now()
         )
 
-    def _won_campaign(self, record: LeaderRecord) -> bool:
-        if not self.campaign.nonce:
-            return False
-        return record.member == self.member and record.nonce == self.campaign.nonce
+    def _campaign_of(self, record: LeaderRecord) -> Campaign | None:
+        """Return the latest campaign if it wrote this record, else None."""
+        campaign = self.campaign
+        if campaign is None or record.member != self.member or record.nonce != campaign.nonce:
+            return None
+        return campaign
 
     def _is_from_own_ended_process(self, record: LeaderRecord) -> bool:
         """Return whether an ended process of this member led: its key can be replaced at once."""
         return record.member == self.member and record.run_id != self.run_id
 
-    async def _lead_term(self, row: VersionedValue, record: LeaderRecord) -> None:
-        assert self.campaign.lease is not None
+    async def _lead_term(
+        self, row: VersionedValue, record: LeaderRecord, campaign: Campaign
+    ) -> None:
+        """Lead until the term has ended, which revokes the lease."""
         self.leader_view.member = self.member
-        await self.lead(ElectedTerm(record.fencing_token, row.revision, self.campaign.lease))
-        self.campaign.nonce = ""
+        await self.lead(ElectedTerm(record.fencing_token, row.revision, campaign.lease))
+        self.leader_view.member = None
+        await self.context.sleep_with_jitter(RETRY_S)
+
+    async def _remove_own_key(self, campaign: Campaign) -> None:
+        """Remove the key of a campaign or a term whose lease this controller has revoked.
+
+        An unconfirmed revocation may be carried out at any time, also in the middle of a term, so
+        that the lease can't be led under. Revoking it again makes way for the next election.
+        """
         self.leader_view.member = None
+        await self._revoke_campaign(campaign, RevocationReason.UNCONFIRMED)
         await self.context.sleep_with_jitter(RETRY_S)
 
+    async def _revoke_campaign(self, campaign: Campaign, reason: RevocationReason) -> None:
+        """Revoke the lease of a campaign; once that is confirmed, its request can't be executed."""
+        await campaign.lease.revoke(reason)
+        self.leader_stickiness.campaign_indeterminate = False
+
     async def _follow_leader(self, row: VersionedValue, record: LeaderRecord) -> None:
         self.leader_view.member = record.member
         self.leader_view.fencing_token = record.fencing_token
@@ -147,15 +171,12 @@
         self.leader_view.member = None
         own_key = record is not None and record.member == self.member
         token_row = await state_store.get(records.FENCING_TOKEN, urgent=True)
-        if self.leader_stickiness.campaign_indeterminate and self.campaign.lease is not None:
-            # Once its lease is revoked, the earlier request can't be executed any more.
-            await self.campaign.lease.revoke(RevocationReason.CAMPAIGN_INDETERMINATE)
-            self.leader_stickiness.campaign_indeterminate = False
+        if self.campaign is not None and self.leader_stickiness.campaign_indeterminate:
+            await self._revoke_campaign(self.campaign, RevocationReason.CAMPAIGN_INDETERMINATE)
         if not self._may_become_leader(own_key, token_row is None):
             await self.context.sleep_with_jitter(RETRY_S)
             return
         lease = await HeldLease.request(state_store, self.ttl, self.context.now)
-        self.campaign.lease = lease
         # Checked again: the vote may have been withheld during the calls above. Nothing is awaited
         # between this check and the request to become the leader.
         if not self._may_become_leader(own_key, token_row is None):
@@ -183,8 +204,9 @@
     ) -> None:
         """Write the leader's key and the next fencing token in one transaction."""
         fencing_token = next_fencing_token(token_row.value if token_row else None)
-        self.campaign.nonce = uuid.uuid4().hex[:12]
-        leader = LeaderRecord(self.member, self.run_id, fencing_token, self.campaign.nonce)
+        nonce = uuid.uuid4().hex[:12]
+        leader = LeaderRecord(self.member, self.run_id, fencing_token, nonce)
+        self.campaign = Campaign(nonce, lease)
         self.leader_stickiness.campaign_indeterminate = True
         try:
             await self.context.state_store.transaction(
--- a/tests/standins/network.py
+++ b/tests/standins/network.py
@@ -54,6 +54,8 @@
         self.extra_latency_s: Callable[[str, str], float] = lambda source, path: 0.0
         self.late_writes = 0.0  # share of transactions that get no answer
         self.writes_at_once = False  # whether these are applied at once, not seconds later
+        # Returns when a call gets no answer and is executed this many seconds late, else None.
+        self.late_unanswered_s: Callable[[Call], float | None] = lambda call: None
         self.copies = 0.0  # share of heartbeats that are delivered a second time, late
         self.keep_copies = False  # whether heartbeats are copied for the next leader
         self.kept_copies: list[bytes] = []
@@ -79,6 +81,9 @@
             timeout = await self._wait_while_refused(call, timeout)
             if call.source in self.refused:
                 return Answer(503, {})
+        if (delay_s := self.late_unanswered_s(call)) is not None:
+            self.in_background(self._deliver(call, delay_s))
+            raise UnansweredError("connection closed")
         if call.path == "/txn" and self.rng.random() < self.late_writes:
             late_s = 0.0 if self.writes_at_once else self.rng.uniform(*LATE_WRITE_S)
             self.in_background(self._deliver(call, late_s))
