Know the result of a campaign without an answer once the key shows it

A controller whose campaign had no answer refused to withhold its vote for as long as the winner of that election led, so that in an outage of the state service longer than the leader's lease the term ended and the workers' tasks were lost. A controller that had won without an answer couldn't withhold its own vote when it resigned.

Cause: campaign_indeterminate was reset only by an answer to the campaign itself or by the confirmed revocation of its lease, and a controller that leads or follows sends neither.

Change: it is reset when the leader's key shows the result: this campaign's own record, or another's with the same or a higher fencing token. Both campaigns are conditional on the revision of the previous token, so that at most one of them can ever be executed.

--- a/src/salthead/controller/election.py
+++ b/src/salthead/controller/election.py
@@ -55,6 +55,7 @@
     """A request of this controller to become the leader."""
 
     nonce: str
+    fencing_token: int
     lease: HeldLease  # the leader's key is attached to it
 
 
@@ -140,6 +141,7 @@
         self, row: VersionedValue, record: LeaderRecord, campaign: Campaign
     ) -> None:
         """Lead until the term has ended, which revokes the lease."""
+        self.leader_stickiness.campaign_indeterminate = False
         self.leader_view.member = self.member
         await self.lead(ElectedTerm(record.fencing_token, row.revision, campaign.lease))
         self.leader_view.member = None
@@ -163,6 +165,9 @@
     async def _follow_leader(self, row: VersionedValue, record: LeaderRecord) -> None:
         self.leader_view.member = record.member
         self.leader_view.fencing_token = record.fencing_token
+        if self.campaign is not None and record.fencing_token >= self.campaign.fencing_token:
+            # The campaign was conditional on the previous fencing token, so it can't succeed now.
+            self.leader_stickiness.campaign_indeterminate = False
         await self.context.state_store.watch(records.LEADER, row.revision, LEADER_WATCH_S)
 
     async def _campaign(self, row: VersionedValue | None, record: LeaderRecord | None) -> None:
@@ -206,7 +211,7 @@
         fencing_token = next_fencing_token(token_row.value if token_row else None)
         nonce = uuid.uuid4().hex[:12]
         leader = LeaderRecord(self.member, self.run_id, fencing_token, nonce)
-        self.campaign = Campaign(nonce, lease)
+        self.campaign = Campaign(nonce, fencing_token, lease)
         self.leader_stickiness.campaign_indeterminate = True
         try:
             await self.context.state_store.transaction(
--- a/tests/test_election.py
+++ b/tests/test_election.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Callable
 
 import pytest
 
@@ -60,6 +61,11 @@
         return leader.term.fencing_token if leader.term is not None else None
 
 
+def written_keys(call: Call) -> list[str]:
+    """Return the keys that a transaction writes."""
+    return [operation["set"] for operation in call.body["apply"] if "set" in operation]
+
+
 class LateRequests:
     """Makes requests of one controller stay unanswered and be executed late."""
 
@@ -74,7 +80,7 @@
         """Return how late a call is executed without an answer, or None if it is answered."""
         if call.source != self.member or call.target != "state":
             return None
-        if call.path == "/txn" and self.transactions_left and "lead" in self._keys(call):
+        if call.path == "/txn" and self.transactions_left and "lead" in written_keys(call):
             self.transactions_left -= 1
             return TRANSACTION_DELAY_S
         if call.method == "DELETE" and self.revocations_left:
@@ -83,9 +89,6 @@
             return self.revocation_delay_s
         return None
 
-    def _keys(self, call: Call) -> list[str]:
-        return [operation.get("set", "") for operation in call.body["apply"]]
-
 
 async def ask_all(world: World, job_id: str, until: float) -> None:
     """Ask all controllers about a job at short intervals."""
@@ -160,3 +163,55 @@
 
     world, checker = run(scenario)
     assert checker.broken == [] and world.broken == []
+
+
+def loses_campaign_answers(member: str, delay_s: float) -> Callable[[Call], float | None]:
+    """Return a rule that executes all campaigns of one controller late and without an answer."""
+
+    def delay(call: Call) -> float | None:
+        is_campaign = call.path == "/txn" and "lead" in written_keys(call)
+        return delay_s if call.source == member and is_campaign else None
+
+    return delay
+
+
+async def wait_for_leader(world: World) -> Controller:
+    while (leader := world.leader()) is None:
+        await asyncio.sleep(CHECK_INTERVAL_S)
+    return leader
+
+
+def test_a_lost_campaign_without_an_answer_does_not_keep_a_peer_from_withholding_its_vote() -> None:
+    # Guards against tasks lost in an outage: a controller whose campaign had no answer refused to
+    # withhold its vote for as long as the winner of that election led.
+    async def scenario() -> World:
+        world = World()
+        world.late_unanswered_s = loses_campaign_answers("n1", 2.0)
+        leader = await wait_for_leader(world)
+        assert leader.settings.member != "n1"
+        await world.submit(spec("req-1", task_count=2, estimated_run_s=60.0))
+        await asyncio.sleep(15.0)
+        assert len(world.on_machines()) == 2
+        world.state.down = True
+        await asyncio.sleep(3.0 * LEASE_S)
+        assert leader.leading() and len(world.on_machines()) == 2 and world.starts == 2
+        world.state.recover()
+        await world.poll_until_terminal()
+        return world
+
+    world = run(scenario)
+    assert world.broken == [] and world.starts == 2
+
+
+def test_a_controller_that_won_without_an_answer_can_withhold_its_vote() -> None:
+    # Guards against a leader that resigns and campaigns again at once: it could not withhold its
+    # own vote, since the answer to the campaign that it had won was lost.
+    async def scenario() -> None:
+        world = World()
+        for name in ("n1", "n2"):
+            await world.crash(name)
+        world.late_unanswered_s = loses_campaign_answers("n0", 0.0)
+        leader = await wait_for_leader(world)
+        assert leader.leader_stickiness.withhold_vote(world.now())
+
+    run(scenario)
