Check in every test that no two controllers lead, and lose lease requests

Change: World checks at each of its intervals that at most one controller may act as the leader. A meeting (lease_requests_executed_late) leaves 30% of lease requests and transactions without an answer and executes them 2 to 12 s late while leaders end or are deposed. The soak's late_writes concern lease requests as well. A lease is not renewed once its revocation was sent (test).

--- a/tests/soak_faults.py
+++ b/tests/soak_faults.py
@@ -164,7 +164,7 @@
 
 @asynccontextmanager
 async def late_writes(local: SoakSetup, rng: random.Random, lasts_s: float) -> Undo:
-    """Apply some transactions without an answer, either late or at once."""
+    """Execute some transactions and lease requests without an answer, either late or at once."""
     local.world.late_writes, local.world.writes_at_once = 0.3, rng.random() < 0.5
     yield
     local.world.late_writes = 0.0
--- a/tests/soak_world.py
+++ b/tests/soak_world.py
@@ -41,7 +41,7 @@
             await asyncio.sleep(0.1)  # hold open watches
         if self.controller in world.refused_controllers:
             return Answer(503, {})
-        if path == "/txn" and world.rng.random() < world.late_writes:
+        if method != "GET" and world.rng.random() < world.late_writes:
             late_s = 0.0 if world.writes_at_once else world.rng.uniform(2.0, 8.0)
             world.run_later(late_s, world.state.handle(method, path, query, body))
             await asyncio.sleep(NEVER_S)
--- a/tests/standins/hosts.py
+++ b/tests/standins/hosts.py
@@ -54,8 +54,12 @@
 
     def leader(self) -> Controller | None:
         """Return the controller that holds the leader lease by its own view, or None."""
+        return next(iter(self.leaders()), None)
+
+    def leaders(self) -> list[Controller]:
+        """Return all controllers that may act as the leader by their own view."""
         running = (one for one in self.controllers.values() if one is not None)
-        return next((one for one in running if one.leading()), None)
+        return [one for one in running if one.leading()]
 
     def on_machines(self) -> list[tuple[Worker, str]]:
         """Return the tasks on machines that have not exited, each with its worker."""
--- a/tests/standins/world.py
+++ b/tests/standins/world.py
@@ -84,10 +84,17 @@
             if current_token != fencing_token:
                 fencing_token = current_token
                 await self._deliver_kept_copies()
+            self.check_leaders()
             self.check_cancelled_tasks()
             if 0.0 < self.faults_end_at < self.now():
                 self.check_waiting_jobs()
 
+    def check_leaders(self) -> None:
+        """Check that no two controllers may act as the leader at the same time."""
+        members = [leader.settings.member for leader in self.leaders()]
+        if len(members) > 1:
+            self.broken.append(f"two_leaders: {', '.join(members)}")
+
     def _leader_fencing_token(self, default: int) -> int:
         leader = self.leader()
         if leader is None or leader.term is None:
--- a/tests/test_election.py
+++ b/tests/test_election.py
@@ -10,6 +10,9 @@
 from helpers import LIMITS, spec
 from salthead.controller.controller import Controller
 from salthead.leases.leader_lease import leader_ttl
+from salthead.state_store.client import LeaseExpiredError
+from salthead.state_store.held_lease import HeldLease, RevocationReason
+from salthead.transport.client import UnansweredError
 from standins import World, run
 from standins.network import Call
 
@@ -165,6 +168,23 @@
     assert checker.broken == [] and world.broken == []
 
 
+def test_a_lease_is_not_renewed_once_its_revocation_was_sent() -> None:
+    # Guards against a lease that is kept alive while its end is on its way.
+    async def scenario() -> None:
+        world = World()
+        leader = await wait_for_leader(world)
+        lease = await HeldLease.request(leader.state_store, TTL_S, world.now)
+        await lease.renew(timeout=1.0)
+        world.late_unanswered_s = lambda call: 2.0 if call.method == "DELETE" else None
+        with pytest.raises(UnansweredError):
+            await lease.revoke(RevocationReason.TERM_ENDED)
+        assert lease.lease_id in world.state.leases
+        with pytest.raises(LeaseExpiredError):
+            await lease.renew(timeout=1.0)
+
+    run(scenario)
+
+
 def loses_campaign_answers(member: str, delay_s: float) -> Callable[[Call], float | None]:
     """Return a rule that executes all campaigns of one controller late and without an answer."""
 
--- a/tests/test_meetings.py
+++ b/tests/test_meetings.py
@@ -18,6 +18,7 @@
 from salthead.controller.controller import Controller
 from salthead.leases.leader_lease import certainly_expired_at, leader_ttl, unloaded_grace_s
 from standins import World, run
+from standins.network import Call
 
 CANCEL_S = LIMITS["workers"]["cancel_s"]
 
@@ -382,6 +383,28 @@
     world.late_writes, world.writes_at_once = 0.0, False
 
 
+async def lease_requests_executed_late(world: World) -> None:
+    """Leave lease requests and campaigns unanswered, execute them late, and end terms."""
+
+    def late_s(call: Call) -> float | None:
+        concerned = call.path.startswith("/grants") or call.path == "/txn"
+        if call.target != "state" or not concerned or world.rng.random() >= 0.3:
+            return None
+        return world.rng.uniform(2.0, 12.0)
+
+    await asyncio.sleep(10.0)
+    world.late_unanswered_s = late_s
+    for n in range(8):
+        leader = await loaded_leader(world)
+        spawn(world, cancel_running_jobs(world, 1))
+        if n % 2 and leader.term is not None:
+            leader.term.ledger.newer_fencing_token = leader.term.fencing_token + 1
+        else:
+            await restart_leader(world, 0.2)
+        await asyncio.sleep(world.rng.uniform(2.0, 8.0))
+    world.late_unanswered_s = lambda call: None
+
+
 async def cancel_during_failover(world: World) -> None:
     """Cancel jobs in the seconds around each failover."""
     await asyncio.sleep(12.0)
@@ -578,6 +601,7 @@
         workers_cannot_connect,
         transactions_applied_late,
         transaction_answers_lost,
+        lease_requests_executed_late,
         cancel_during_failover,
         duplicate_heartbeats,
         fast_boot_slow_writes,
