Return no port twice to the loopback tests

Its log shows why: controller n1 ended at its start with "can't open the listening sockets: Address already in use", so that the test went on with two controllers.

Cause: free_port draws a port, finds it free and gives it back, and the controllers listen later; a second draw of the same port in between finds it free as well. With eight ports of some 17,800 that is one setup in 600. That it was this, and not a process from outside, is by reading: the log doesn't name the port.

Change: a port that was returned is not returned again. The check of the test, its bound and its jobs stay as they are.

Measured: test_no_port_is_returned_twice fails before and passes now.

--- a/tests/local_setup.py
+++ b/tests/local_setup.py
@@ -36,9 +36,13 @@
 EPHEMERAL_PORT_RANGE = Path("/proc/sys/net/ipv4/ip_local_port_range")
 
 
+_returned_ports: set[int] = set()
+
+
 def free_port() -> int:
     """Return a free port below the ephemeral range, for a process that starts later.
 
+    No port is returned twice, since the process that it is for may not listen on it yet.
     Within the ephemeral range, a connection of a proxy or of a concurrent test run can take the
     port before the controller listens on it.
     """
@@ -49,7 +53,9 @@
         port = random.SystemRandom().randrange(LOWEST_PORT, upper_limit)
         with socket.socket() as probe, contextlib.suppress(OSError):
             probe.bind(("127.0.0.1", port))
-            return port
+            if port not in _returned_ports:
+                _returned_ports.add(port)
+                return port
 
 
 class LocalWorld(World):
--- a/tests/test_start.py
+++ b/tests/test_start.py
@@ -6,6 +6,7 @@
 import contextlib
 import http.client
 import os
+import random
 import subprocess
 import sys
 import time
@@ -85,3 +86,11 @@
         return task.done()
 
     assert asyncio.run(scenario())
+
+
+def test_no_port_is_returned_twice(monkeypatch: pytest.MonkeyPatch) -> None:
+    # Guards against a controller that can't listen, since two were given the same port.
+    first = free_port()
+    ports = iter(range(first, first + 1000))
+    monkeypatch.setattr(random.SystemRandom, "randrange", lambda *_: next(ports))
+    assert free_port() != first
