Fail the election tests if their checks of the leaders end early

Cause: the task that checks the leaders was cancelled at the end without a look at it, so that an error in a check would have ended all checks and passed the test.

Change: the task has to run still when the users are done.

--- a/tests/test_election.py
+++ b/tests/test_election.py
@@ -120,6 +120,7 @@
     await asyncio.gather(
         ask_all(world, "req-1", ends_at), cancel_at(world, other, "req-1", first_executed_at + 0.1)
     )
+    assert not loop.done(), "the checks went on to the end"
     loop.cancel()
     return checker
 
