Log and count the writes of outcomes by their result

The log named neither the phase of a write without an answer nor the one that was sent after it, so that it couldn't tell a forgotten write from a wrong reading after a conflict.

Change: the events outcome_write_failed, with the result and the phase sent, and outcome_write_repeated, with the phases sent before and now; the metrics salthead_outcome_writes_total{result} and salthead_indeterminate_outcomes.

--- a/src/salthead/leader/outcomes.py
+++ b/src/salthead/leader/outcomes.py
@@ -13,9 +13,12 @@
 import asyncio
 import logging
 import time
+from collections.abc import Mapping
+from enum import Enum
 from itertools import islice
 from typing import Protocol
 
+from salthead import metrics
 from salthead.cluster.model import Job
 from salthead.event_log import event
 from salthead.leader.context import TermContext
@@ -37,6 +40,16 @@
 log = logging.getLogger(__name__)
 
 RETRY_S = 0.5
+MAX_LOGGED_JOBS = 5  # per event
+
+
+class WriteResult(Enum):
+    """The result of a transaction that writes outcomes."""
+
+    CONFIRMED = "confirmed"
+    UNANSWERED = "unanswered"  # it may have been executed, or may be later
+    REFUSED = "refused"
+    CONFLICT = "conflict"
 
 
 def _terminal_phase(job: Job) -> str:
@@ -52,6 +65,25 @@
         """Add a job's outcome to the cache."""
 
 
+def _phases_for_log(phases: Mapping[str, str]) -> str:
+    """Return the first jobs of a write, each with the phase that was sent."""
+    first = islice(phases.items(), MAX_LOGGED_JOBS)
+    return ",".join(f"{job_id}:{phase}" for job_id, phase in first)
+
+
+def _record_result(result: WriteResult, phases: Mapping[str, str]) -> None:
+    """Count a write of outcomes by its result, and log it if it was not confirmed."""
+    metrics.OUTCOME_WRITES.labels(result.value).inc()
+    if result is not WriteResult.CONFIRMED:
+        event(
+            log,
+            "outcome_write_failed",
+            result=result.value,
+            jobs=len(phases),
+            first=_phases_for_log(phases),
+        )
+
+
 class Outcomes:
     """The pending and indeterminate outcomes of a term, and the loop that writes them."""
 
@@ -124,6 +156,7 @@
                     self.write_requested.set()
                     await self.context.sleep_with_jitter(RETRY_S)
         finally:
+            metrics.INDETERMINATE_OUTCOMES.set(0)
             self._fail_waiters(UnansweredError("this term is over"))
 
     def _fail_waiters(self, error: Exception) -> None:
@@ -167,22 +200,47 @@
             for job in jobs
             if job.job_id not in self.indeterminate and not job.dependency_cancelled
         ]
+        self._log_repeated(phases)
         self.indeterminate |= {
             job.job_id: phases[job.job_id] for job in jobs if not job.dependency_cancelled
         }
+        metrics.INDETERMINATE_OUTCOMES.set(len(self.indeterminate))
         conditions = {records.outcome_key(job.job_id): 0 for job in jobs}
         try:
             await self.context.transaction(conditions, changes)
         except RequestRefusedError:
+            _record_result(WriteResult.REFUSED, phases)
             for job_id in first_sent:
                 del self.indeterminate[job_id]
             raise
         except ConflictError:
+            _record_result(WriteResult.CONFLICT, phases)
             await self._read_conflicting(jobs, first_sent)
             return
+        except UnansweredError:
+            _record_result(WriteResult.UNANSWERED, phases)
+            raise
+        finally:
+            metrics.INDETERMINATE_OUTCOMES.set(len(self.indeterminate))
+        _record_result(WriteResult.CONFIRMED, phases)
         for job in jobs:
             self.mark_durable(job, phases[job.job_id], ended_at)
 
+    def _log_repeated(self, phases: Mapping[str, str]) -> None:
+        """Log the jobs of a write for which an earlier write has no result."""
+        repeated = {
+            job_id: f"{self.indeterminate[job_id]}+{phase}"
+            for job_id, phase in phases.items()
+            if job_id in self.indeterminate
+        }
+        if repeated:
+            event(
+                log,
+                "outcome_write_repeated",
+                jobs=len(repeated),
+                first=_phases_for_log(repeated),
+            )
+
     def _outcome_changes(
         self, jobs: list[Job], phases: dict[str, str], ended_at: float
     ) -> list[Change]:
@@ -219,6 +277,7 @@
         self.ledger.end_job(job, phase, self.context.now())
         self.pending_writes.pop(job_id, None)
         self.indeterminate.pop(job_id, None)
+        metrics.INDETERMINATE_OUTCOMES.set(len(self.indeterminate))
         waiter = self.waiters.pop(job_id, None)
         if waiter is not None and not waiter.done():
             waiter.set_result(None)
--- a/src/salthead/metrics.py
+++ b/src/salthead/metrics.py
@@ -28,6 +28,17 @@
     ["result"],
     registry=REGISTRY,
 )
+OUTCOME_WRITES = Counter(
+    "salthead_outcome_writes_total",
+    "Transactions that write outcomes of jobs, by result",
+    ["result"],
+    registry=REGISTRY,
+)
+INDETERMINATE_OUTCOMES = Gauge(
+    "salthead_indeterminate_outcomes",
+    "Jobs whose outcome was sent by this term, without a result yet",
+    registry=REGISTRY,
+)
 MACHINES = Gauge("salthead_machines", "Machines by phase", ["phase"], registry=REGISTRY)
 WAITING_TASKS = Gauge("salthead_waiting_tasks", "Tasks with no machine", registry=REGISTRY)
 BLOCKED_JOBS = Gauge(
