--- a/tests/test_meetings.py
+++ b/tests/test_meetings.py
@@ -15,31 +15,14 @@
 
 from helpers import LIMITS, limits, spec
 from salthead.cluster.ledger import Ledger
-from salthead.controller.controller import Controller
 from salthead.leases.leader_lease import certainly_expired_at, leader_ttl, unloaded_grace_s
+from scenarios import follower_names, loaded_leader, spawn, wait_until_running
 from standins import World, run
 from standins.network import Call
 
 CANCEL_S = LIMITS["workers"]["cancel_s"]
 
 
-async def loaded_leader(world: World) -> Controller:
-    while (
-        (leader := world.leader()) is None or leader.term is None or (not leader.term.ledger.loaded)
-    ):
-        await asyncio.sleep(0.05)
-    return leader
-
-
-def follower_names(world: World, leader: Controller) -> list[str]:
-    return [name for name in world.names if name != leader.settings.member]
-
-
-async def wait_until_running(world: World, job_id: str, many: int = 1) -> None:
-    while sum(task_id.startswith(job_id + "/") for _, task_id in world.on_machines()) < many:
-        await asyncio.sleep(0.1)
-
-
 def delay_txn_answers(world: World, want: Callable[[dict[str, Any]], bool], delay_s: float) -> None:
     """Delay the answers of the transactions that contain a matching change.
 
@@ -230,12 +213,6 @@
         world.boot(leader.settings.member)
 
 
-def spawn(world: World, work: Coroutine[Any, Any, Any]) -> None:
-    task = asyncio.create_task(work)
-    world.pending.add(task)
-    task.add_done_callback(world.pending.discard)
-
-
 async def cancel_running_jobs(world: World, count: int, hang_s: float = 0.0) -> None:
     """Cancel up to ``count`` running jobs within 0.2 s.
 
