Count every phase that was sent for a job until its outcome is known

Cause: a cancellation met the end of the job's last task. The write of aborted was executed and its answer lost; the next write said done, since the job was complete by then. Outcomes.indeterminate kept only the phase that was sent last, so that the job no longer counted as possibly aborted, and the status of its dependents counted as certain.

Change: IndeterminateOutcomes counts the writes without a result, by job and phase. A refusal or a conflict takes back just its own write, which was certainly not executed; a job with a conflict stays until its outcome is read. Dependents are read while a write of aborted has no result. After a conflict only the outcomes that it names are read, so that the other jobs of the write are not held back.

Why it works: whatever another controller may have read was in some write of this term that was executed, and each of these is counted until the outcome is known. Writes of earlier terms can't be executed once the next leader loads: they are conditional on the leader's key.

--- a/src/salthead/leader/outcomes.py
+++ b/src/salthead/leader/outcomes.py
@@ -23,6 +23,7 @@
 from salthead.event_log import event
 from salthead.leader.context import TermContext
 from salthead.leader.controller_interface import JobLookup
+from salthead.leader.indeterminate_outcomes import IndeterminateOutcomes
 from salthead.leader.save_loop import SaveLoop
 from salthead.leader.worker_calls import WorkerCalls
 from salthead.protocol import wire_names
@@ -103,7 +104,7 @@
         self.save_loop = save_loop
         # Jobs that are complete or to be cancelled and have no outcome known to be durable.
         self.pending_writes: dict[str, Job] = {}
-        self.indeterminate: dict[str, str] = {}  # by job id: the phase that was sent last
+        self.indeterminate = IndeterminateOutcomes()
         self.write_requested = asyncio.Event()
         self.waiters: dict[str, asyncio.Future[None]] = {}  # cancel requests by job id
 
@@ -123,8 +124,7 @@
         if job.job_id in self.indeterminate:
             return True
         return job.blocked_on_dependencies and self.ledger.dependency_graph.needs(
-            job.job_id,
-            {job_id for job_id, phase in self.indeterminate.items() if phase == wire_names.ABORTED},
+            job.job_id, self.indeterminate.possibly_aborted
         )
 
     async def cancel(self, job: Job) -> None:
@@ -193,35 +193,27 @@
         ended_at = time.time()
         phases = {job.job_id: _terminal_phase(job) for job in jobs}
         changes = self._outcome_changes(jobs, phases, ended_at)
-        # A refused write did not take effect, but an earlier write that got no answer still may, so
-        # a refusal settles only the outcomes that are sent for the first time.
-        first_sent = [
-            job.job_id
-            for job in jobs
-            if job.job_id not in self.indeterminate and not job.dependency_cancelled
-        ]
-        self._log_repeated(phases)
-        self.indeterminate |= {
+        conditions = {records.outcome_key(job.job_id): 0 for job in jobs}
+        # The cancellation of a job that depends on a durably cancelled one is certain already.
+        uncertain_phases = {
             job.job_id: phases[job.job_id] for job in jobs if not job.dependency_cancelled
         }
-        metrics.INDETERMINATE_OUTCOMES.set(len(self.indeterminate))
-        conditions = {records.outcome_key(job.job_id): 0 for job in jobs}
+        self._log_repeated(phases)
+        self.indeterminate.add_write(uncertain_phases)
         try:
             await self.context.transaction(conditions, changes)
         except RequestRefusedError:
             _record_result(WriteResult.REFUSED, phases)
-            for job_id in first_sent:
-                del self.indeterminate[job_id]
+            self.indeterminate.remove_write(uncertain_phases)
             raise
-        except ConflictError:
+        except ConflictError as error:
             _record_result(WriteResult.CONFLICT, phases)
-            await self._read_conflicting(jobs, first_sent)
+            self.indeterminate.remove_write(uncertain_phases)
+            await self._read_conflicting(jobs, error)
             return
         except UnansweredError:
             _record_result(WriteResult.UNANSWERED, phases)
             raise
-        finally:
-            metrics.INDETERMINATE_OUTCOMES.set(len(self.indeterminate))
         _record_result(WriteResult.CONFIRMED, phases)
         for job in jobs:
             self.mark_durable(job, phases[job.job_id], ended_at)
@@ -229,7 +221,7 @@
     def _log_repeated(self, phases: Mapping[str, str]) -> None:
         """Log the jobs of a write for which an earlier write has no result."""
         repeated = {
-            job_id: f"{self.indeterminate[job_id]}+{phase}"
+            job_id: "+".join([*self.indeterminate.phases(job_id), phase])
             for job_id, phase in phases.items()
             if job_id in self.indeterminate
         }
@@ -253,19 +245,21 @@
             changes.append(delete(records.job_key(job.job_id)))
         return changes
 
-    async def _read_conflicting(self, jobs: list[Job], first_sent: list[str]) -> None:
+    async def _read_conflicting(self, jobs: list[Job], conflict: ConflictError) -> None:
         """Adopt the outcomes of an earlier write that took effect without an answer.
 
         Raises UnansweredError if none of the jobs has an outcome.
         """
+        conflicting = [job for job in jobs if records.outcome_key(job.job_id) in conflict.failed]
+        for job in conflicting:
+            if not job.dependency_cancelled:
+                self.indeterminate.add_unread_outcome(job.job_id)
         durable_count = 0
-        for job in jobs:
+        for job in conflicting or jobs:
             outcome = await self.job_lookup.read_outcome(job.job_id)
             if outcome is not None:
                 durable_count += 1
                 self.mark_durable(job, outcome[0], outcome[2])
-            elif job.job_id in first_sent:
-                del self.indeterminate[job.job_id]
         if not durable_count:
             raise UnansweredError("outcome in doubt") from None
 
@@ -276,8 +270,7 @@
         self.save_loop.discard_job(job)
         self.ledger.end_job(job, phase, self.context.now())
         self.pending_writes.pop(job_id, None)
-        self.indeterminate.pop(job_id, None)
-        metrics.INDETERMINATE_OUTCOMES.set(len(self.indeterminate))
+        self.indeterminate.remove_job(job_id)
         waiter = self.waiters.pop(job_id, None)
         if waiter is not None and not waiter.done():
             waiter.set_result(None)
