Hold back no status for a write of an outcome that was not sent

What callers saw: after the leader's lease had been uncertain while an outcome was to be written, the status of the job, and of its dependents if it was to be cancelled, was read from the state service, or refused with 503 while that refuses, until the outcome was written. Found by the test, not reported.

Cause: a term whose lease is not certain raised the error of a request without an answer, although nothing was sent, and the job counted as possibly ended.

Change: LeaseUncertainError, raised before a transaction is sent; the write is taken back as after a refusal. The event and the metric say not_sent.

Why it works: what was not sent can't be executed, and earlier writes without a result stay counted.

--- a/src/salthead/leader/context.py
+++ b/src/salthead/leader/context.py
@@ -19,6 +19,10 @@
 PAUSE_FACTOR = 9.0
 
 
+class LeaseUncertainError(UnansweredError):
+    """A transaction was not sent, because it is not certain that this controller leads."""
+
+
 @dataclass(slots=True)
 class TermContext:
     """The identity, clients and limits of a term; it does not depend on the loops that use it."""
@@ -58,11 +62,11 @@
     ) -> int:
         """Make changes only if this term still leads; return the epoch after the write.
 
-        Raises UnansweredError if the term does not lead any more, and ConflictError if another
-        condition failed.
+        Raises LeaseUncertainError if the term may not lead now, UnansweredError if it does not lead
+        any more, and ConflictError if another condition failed.
         """
         if not self.valid():
-            raise UnansweredError("lease not certain")
+            raise LeaseUncertainError("lease not certain")
         try:
             return await self.state_store.transaction(
                 {records.LEADER: self.revision} | conditions, changes, bulk=bulk, urgent=urgent
--- a/src/salthead/leader/outcomes.py
+++ b/src/salthead/leader/outcomes.py
@@ -21,7 +21,7 @@
 from salthead import metrics
 from salthead.cluster.model import Job
 from salthead.event_log import event
-from salthead.leader.context import TermContext
+from salthead.leader.context import LeaseUncertainError, TermContext
 from salthead.leader.controller_interface import JobLookup
 from salthead.leader.indeterminate_outcomes import IndeterminateOutcomes
 from salthead.leader.save_loop import SaveLoop
@@ -49,6 +49,7 @@
 
     CONFIRMED = "confirmed"
     UNANSWERED = "unanswered"  # it may have been executed, or may be later
+    NOT_SENT = "not_sent"
     REFUSED = "refused"
     CONFLICT = "conflict"
 
@@ -202,8 +203,9 @@
         self.indeterminate.add_write(uncertain_phases)
         try:
             await self.context.transaction(conditions, changes)
-        except RequestRefusedError:
-            _record_result(WriteResult.REFUSED, phases)
+        except (LeaseUncertainError, RequestRefusedError) as error:
+            not_sent = isinstance(error, LeaseUncertainError)
+            _record_result(WriteResult.NOT_SENT if not_sent else WriteResult.REFUSED, phases)
             self.indeterminate.remove_write(uncertain_phases)
             raise
         except ConflictError as error:
--- a/tests/test_outcomes.py
+++ b/tests/test_outcomes.py
@@ -34,6 +34,7 @@
     ANSWER_LOST = "executed at once without an answer"
     EXECUTED_LATE = "no answer, and executed after the next write"
     NEVER_EXECUTED = "no answer, and never executed"
+    NOT_SENT = "not sent, since the lease is not certain"
     REFUSED = "refused"
     READ_LOST = "answered, but after a conflict the outcome can't be read"
     ANSWERED = "answered"
@@ -186,8 +187,11 @@
         """Write the outcome of the first job, which has the given phase by now."""
         self.first.n_done = self.first.spec.task_count if write.phase == DONE else 0
         self.store.fate = write.fate
+        if write.fate is Fate.NOT_SENT:
+            self.context.lease_clock.invalidate()
         with contextlib.suppress(UnansweredError, RequestRefusedError):
             await self.outcomes.write_batch([self.first])
+        self.context.lease_clock.record_renewal(0.0)
         if write.fate in UNRESOLVED_FATES:
             self.unresolved_phases.add(write.phase)
         self.check()
