Write zone states on the revisions that they replace

What callers would see: a next leader takes an available zone for lost, or a recovering one for available, and holds machines back or admits too much work to them at first; for at most the two minutes that a record counts. Found by reading, shown by the test; not reported.

The state of a zone was compared with what the last confirmed write stored, as if a later write without an answer had not been executed, and a write that is executed late replaced a newer one.

Change: a zone whose write has no result is written again, and each write is conditional on the revisions that were read or written last. What a write covers is taken together with its values, also for the second batch.

--- a/src/salthead/leader/zone_loop.py
+++ b/src/salthead/leader/zone_loop.py
@@ -3,13 +3,16 @@
 from __future__ import annotations
 
 import random
+from collections.abc import Iterable, Mapping, Sequence
 
 from salthead import metrics
 from salthead.leader.context import TermContext
 from salthead.leader.declared_networks import network_silence
 from salthead.policy import Network, ZonePolicy
-from salthead.state_store.client import RETRYABLE_ERRORS, ConflictError, put
+from salthead.state_store.batches import batches
+from salthead.state_store.client import RETRYABLE_ERRORS, ConflictError, VersionedValue, put
 from salthead.zones import records
+from salthead.zones.record_writer import KeyedRecord
 from salthead.zones.recovery import ZoneRecovery
 from salthead.zones.state import ZonePhase
 from salthead.zones.views import zone_views
@@ -70,20 +73,40 @@
                 continue
             values = {path: value for path, (value, _) in rows.items()}
             self.recovery.records.load(values, self.context.now())
+            self._adopt_revisions(rows)
             return
 
+    def _adopt_revisions(self, rows: Mapping[str, VersionedValue]) -> None:
+        """Let the next writes replace the records that were read."""
+        self.recovery.records.revisions = {key: row.revision for key, row in rows.items()}
+
     async def _write_changed_states(self) -> None:
-        """Write the zone states that the state service does not hold yet, in batches."""
+        """Write the zone states that the state service does not hold yet, in batches.
+
+        Raises ConflictError, after reading the stored revisions, if an earlier write took effect.
+        """
         now = self.context.now()
-        rows = list(self.recovery.records.unwritten(now).items())
-        batch_size = self.context.state_limits.txn_ops
-        for offset in range(0, len(rows), batch_size):
-            batch = rows[offset : offset + batch_size]
-            covered = self.recovery.records.covered([zone for zone, _ in batch], now)
-            await self.context.transaction(
-                {}, [put(key, value) for _, (key, value) in batch], bulk=True
-            )
-            self.recovery.records.mark_written(covered)
+        unwritten = self.recovery.records.unwritten(now)
+        covered = self.recovery.records.covered(unwritten, now)
+        for zones in batches(list(unwritten), self.context.state_limits.txn_ops):
+            try:
+                await self._write_states([unwritten[zone] for zone in zones], zones)
+            except ConflictError:
+                rows, _ = await self.context.state_store.list_prefix(records.ZONES)
+                self._adopt_revisions(rows)
+                raise
+            self.recovery.records.mark_written({zone: covered[zone] for zone in zones})
+
+    async def _write_states(self, rows: Sequence[KeyedRecord], zones: Iterable[int]) -> None:
+        """Write the records of some zones in one transaction."""
+        revisions = self.recovery.records.revisions
+        self.recovery.records.mark_sent(zones)
+        revision = await self.context.transaction(
+            {row.key: revisions.get(row.key, 0) for row in rows},
+            [put(row.key, row.value) for row in rows],
+            bulk=True,
+        )
+        revisions.update((row.key, revision) for row in rows)
 
     def _update_metrics(self) -> None:
         for view in zone_views(self.recovery, self.context.now()):
--- a/src/salthead/zones/record_writer.py
+++ b/src/salthead/zones/record_writer.py
@@ -42,6 +42,11 @@
         self.admission = admission
         self.wall_clock_offset_s = wall_clock_offset_s
         self.written: dict[int, WrittenRecord] = {}
+        # Zones whose last write has no result, so that it is not known what is stored.
+        self.unconfirmed: set[int] = set()
+        # By key: the revision that a write replaces, so that one that is executed late can't
+        # replace a newer one.
+        self.revisions: dict[str, int] = {}
 
     def load(self, rows: dict[str, Any], now: float) -> None:
         """Restore the states from the values that earlier leaders wrote, by key."""
@@ -68,7 +73,8 @@
             renewal_due = (
                 state.phase is not ZonePhase.AVAILABLE and now - written.at >= records.RENEW_S
             )
-            if renewal_due or (state.phase, step) != (written.phase, written.step):
+            changed = (state.phase, step) != (written.phase, written.step)
+            if changed or renewal_due or zone in self.unconfirmed:
                 value = records.record_value(state, step, now, now + self.wall_clock_offset_s)
                 key = records.record_key(self.ledger.zones[zone])
                 unwritten[zone] = KeyedRecord(key, value)
@@ -78,9 +84,14 @@
         """Return the states that a write of these zones' records, sent now, will store."""
         return {zone: self._current(zone, now) for zone in zones}
 
+    def mark_sent(self, zones: Iterable[int]) -> None:
+        """Record that a write is sent; until it succeeds, these zones are to be written again."""
+        self.unconfirmed.update(zones)
+
     def mark_written(self, covered: dict[int, WrittenRecord]) -> None:
         """Record that a write succeeded; states that changed meanwhile are written again."""
         self.written.update(covered)
+        self.unconfirmed -= covered.keys()
 
     def _current(self, zone: int, now: float) -> WrittenRecord:
         return WrittenRecord(self.states[zone].phase, self.admission.step(zone), now)
--- a/tests/test_record_writes.py
+++ b/tests/test_record_writes.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
+import random
 from typing import Any
 
 import msgspec
@@ -11,12 +13,16 @@
 from helpers import FLAVORS, limits, ready
 from salthead.leader.context import TermContext
 from salthead.leader.machine_type_records import MachineTypeRecords
+from salthead.leader.zone_loop import ZoneLoop
 from salthead.leases.leader_lease import LeaseClock
 from salthead.protocol.messages import MachineType, encode
 from salthead.state_store import records
-from salthead.state_store.client import StateStore
+from salthead.state_store.client import RETRYABLE_ERRORS, ConflictError, StateStore
 from salthead.transport.client import Answer, UnansweredError
+from salthead.zones import records as zone_records
+from salthead.zones.state import ZonePhase
 from standins.state_service import State
+from test_zones import POLICY
 
 RATE = 1000.0  # requests per second; no test waits for a token bucket
 LEADER_REVISION = 9
@@ -131,3 +137,53 @@
         assert stored_names(leader) == [one.name for one in known]
 
     asyncio.run(scenario())
+
+
+def stored_phase(leader: LeaderWrites, key: str) -> ZonePhase:
+    """Return the stored phase of a zone; one without a record is available."""
+    if key not in leader.state.keys:
+        return ZonePhase.AVAILABLE
+    return ZonePhase(leader.value(key)["phase"])
+
+
+async def write_zones(loop: ZoneLoop) -> None:
+    """Write the changed states of zones once, as each round of the loop does."""
+    with contextlib.suppress(ConflictError, *RETRYABLE_ERRORS):
+        await loop._write_changed_states()
+
+
+@pytest.mark.parametrize("zones_per_write", [1, 16])
+@pytest.mark.parametrize("executed_late", [False, True])
+@pytest.mark.parametrize("confirmed", [ZonePhase.AVAILABLE, ZonePhase.SUSPECTED])
+@pytest.mark.parametrize("then", [ZonePhase.AVAILABLE, ZonePhase.RECOVERING])
+def test_the_stored_state_of_a_zone_is_the_last_one(
+    then: ZonePhase, confirmed: ZonePhase, executed_late: bool, zones_per_write: int
+) -> None:
+    # Guards against a next leader that takes an available zone for lost: a write without an answer
+    # was executed, and the leader compared the zone with what the last confirmed write stored.
+    async def scenario() -> None:
+        leader = LeaderWrites(txn_ops=zones_per_write)
+        loop = ZoneLoop(leader.context, POLICY, [], random.Random(1))
+        loop.recovery.observe(0.0)
+        states = loop.recovery.states[:2]
+        keys = [zone_records.record_key(leader.ledger.zones[zone]) for zone in range(2)]
+        # The next leader takes over records that it has not read.
+        leader.state.keys[keys[0]] = ({"phase": "lost"}, LEADER_REVISION, None)
+        for phase in (confirmed, ZonePhase.LOST):
+            for state in states:
+                state.enter(phase, "", leader.now)
+            leader.caller.lose_answers = phase is ZonePhase.LOST
+            leader.caller.executed_late = executed_late
+            for _ in range(3):
+                await write_zones(loop)
+        leader.caller.lose_answers = False
+        for state in states:
+            state.enter(then, "", leader.now)
+        for _ in range(4):
+            await write_zones(loop)
+        leader.caller.execute_late()
+        for _ in range(4):
+            await write_zones(loop)
+        assert [stored_phase(leader, key) for key in keys] == [then] * 2
+
+    asyncio.run(scenario())
