Separate the writer of outcomes, and type terminal outcomes

Change: OutcomeWriter writes one batch and says what its result means; Outcomes keeps what is pending, who waits and what comes next. TerminalOutcome is one named tuple for leader and controller. The walk over dependencies has a type, and decoding a job's record is apart from adding it. No behaviour changes.

--- a/src/salthead/controller/job_cache.py
+++ b/src/salthead/controller/job_cache.py
@@ -3,27 +3,13 @@
 from __future__ import annotations
 
 from collections import OrderedDict
-from typing import NamedTuple
 
-from salthead.protocol import wire_names
-from salthead.protocol.messages import JobStatus, Submission
+from salthead.protocol.messages import Submission
+from salthead.protocol.terminal_outcome import TerminalOutcome
 
 MAX_REMEMBERED_OUTCOMES = 20_000  # also the limit of remembered accepted jobs
 
 
-class TerminalOutcome(NamedTuple):
-    """The final phase of a job, its size, and when it ended."""
-
-    phase: str
-    task_count: int
-    ended_at: float | None  # Unix time, if known
-
-    def status(self, job_id: str) -> JobStatus:
-        """Return the status that users see."""
-        done = self.task_count if self.phase == wire_names.DONE else 0
-        return JobStatus(job_id, self.phase, done, 0)
-
-
 class JobCache:
     """Terminal outcomes and dependencies of accepted jobs; the oldest entries are evicted first."""
 
--- a/src/salthead/controller/job_reader.py
+++ b/src/salthead/controller/job_reader.py
@@ -4,16 +4,18 @@
 
 import math
 from collections import deque
-from dataclasses import dataclass
+from collections.abc import Iterable
+from dataclasses import dataclass, field
 
 import msgspec
 
 from salthead.controller.context import ControllerContext
-from salthead.controller.job_cache import JobCache, TerminalOutcome
+from salthead.controller.job_cache import JobCache
 from salthead.controller.leader_view import LeaderView
 from salthead.errors import InvalidJobError, UnavailableError
 from salthead.protocol import wire_names
 from salthead.protocol.messages import JobStatus, Submission
+from salthead.protocol.terminal_outcome import TerminalOutcome
 from salthead.state_store import records
 from salthead.state_store.client import VersionedValue
 from salthead.transport.client import UnansweredError
@@ -23,12 +25,21 @@
 
 
 @dataclass
-class _WalkReads:
-    """The reads of one walk over dependencies."""
+class _DependencyWalk:
+    """A breadth-first walk over the dependencies of a job, and its reads."""
 
-    count: int = 0  # of jobs that were not in memory
+    pending: deque[str] = field(default_factory=deque)
+    visited: set[str] = field(default_factory=set)  # includes those that are pending
+    read_count: int = 0  # reads of jobs that were not in memory
     active_jobs: dict[str, VersionedValue] | None = None  # once they have been listed
 
+    def add(self, job_ids: Iterable[str]) -> None:
+        """Add the jobs that the walk has not reached yet."""
+        for job_id in job_ids:
+            if job_id not in self.visited:
+                self.visited.add(job_id)
+                self.pending.append(job_id)
+
 
 class JobReader:
     """Reads jobs for one controller, and caches what can't change."""
@@ -69,40 +80,36 @@
         of a job with an outcome are not looked up. Raises InvalidJobError if one of the jobs was
         never accepted, and UnavailableError if the walk has not ended by ``deadline``.
         """
-        direct, visited, pending = set(depends_on), set(depends_on), deque(depends_on)
-        reads = _WalkReads()
+        direct = set(depends_on)
+        walk = _DependencyWalk()
+        walk.add(depends_on)
         cancelled = False
-        while pending:
-            job_id = pending.popleft()
+        while walk.pending:
+            job_id = walk.pending.popleft()
             if cancelled and job_id not in direct:
                 break  # direct dependencies come first in the queue
             if self.context.now() > deadline:
                 raise UnavailableError("still looking up the jobs that it awaits")
-            phase = await self._dependency_phase(job_id, reads)
-            if phase == wire_names.ABORTED:
+            phase = await self._dependency_phase(job_id, walk)
+            if phase is None:
+                walk.add(self.job_cache.dependencies.get(job_id, ()))
+            elif phase == wire_names.ABORTED:
                 if not check_all:
                     return True
                 cancelled = True
-            if phase is None:
-                for dependency in self.job_cache.dependencies.get(job_id, ()):
-                    if dependency not in visited:
-                        visited.add(dependency)
-                        pending.append(dependency)
         return cancelled
 
-    async def _dependency_phase(self, job_id: str, reads: _WalkReads) -> str | None:
+    async def _dependency_phase(self, job_id: str, walk: _DependencyWalk) -> str | None:
         """Return the terminal phase of a dependency, or None while it is active."""
         in_memory, phase = self._phase_in_memory(job_id)
         if in_memory:
             return phase
-        if reads.count == MAX_SINGLE_READS:
-            reads.active_jobs, _ = await self.context.state_store.list_prefix(records.JOBS)
-        reads.count += 1
-        row = (
-            reads.active_jobs.get(records.job_key(job_id))
-            if reads.active_jobs is not None
-            else None
-        )
+        if walk.read_count == MAX_SINGLE_READS:
+            walk.active_jobs, _ = await self.context.state_store.list_prefix(records.JOBS)
+        walk.read_count += 1
+        row = None
+        if walk.active_jobs is not None:
+            row = walk.active_jobs.get(records.job_key(job_id))
         return await self._read_phase(job_id, row)
 
     def _phase_in_memory(self, job_id: str) -> tuple[bool, str | None]:
--- a/src/salthead/leader/controller_interface.py
+++ b/src/salthead/leader/controller_interface.py
@@ -9,13 +9,11 @@
 from salthead.leases.leader_lease import LeaderStickiness
 from salthead.policy import Policy
 from salthead.protocol.messages import JobStatus, MachineType, Submission
+from salthead.protocol.terminal_outcome import TerminalOutcome
 from salthead.settings import Limits, Settings, StateLimits
 from salthead.state_store.client import StateStore
 from salthead.transport.client import HttpClient
 
-# Phase, number of tasks, and the Unix time of the end if it is known.
-TerminalOutcome = tuple[str, int, float | None]
-
 
 class JobLookup(Protocol):
     """Consistent reads of jobs in the state service."""
--- a/src/salthead/leader/job_records.py
+++ b/src/salthead/leader/job_records.py
@@ -6,12 +6,13 @@
 from typing import Any
 
 from salthead.leader.context import TermContext
-from salthead.leader.controller_interface import JobLookup, TerminalOutcome
+from salthead.leader.controller_interface import JobLookup
 from salthead.leader.done_task_pages import DoneTaskPages
 from salthead.leader.machine_registry_records import MachineRegistryRecords
 from salthead.leader.save_loop import SaveLoop
 from salthead.protocol import wire_names
 from salthead.protocol.messages import MalformedMessageError, Submission
+from salthead.protocol.terminal_outcome import TerminalOutcome
 from salthead.state_store import records
 from salthead.state_store.client import RETRYABLE_ERRORS, CompactedError, decode_logged_change
 from salthead.transport.client import UnansweredError
@@ -82,21 +83,12 @@
         ``continuations`` has the continuation values by key, or is None if they were not read.
         """
         try:
-            spec = records.decode_job(value)
-            if spec.more:
-                if continuations is None:
-                    self.incomplete[spec.job_id] = None
-                    return
-                spec.depends_on = (spec.depends_on or []) + [
-                    job_id
-                    for n in range(spec.more)
-                    for job_id in records.decode_dependencies(
-                        continuations.get(records.dependencies_key(spec.job_id, n))
-                    )
-                ]
+            spec = self._decode(value, continuations)
         except MalformedMessageError as error:
             self.context.log_throttled("job record", f"{key}: {error}")
             return
+        if spec is None:
+            return
         # A job whose record is loaded counts as active even if it has a terminal outcome in the
         # cache: an outcome derived from a dependency may be reported before it is written.
         if loading or self._is_active(spec.job_id, revision):
@@ -104,6 +96,28 @@
                 spec, self.now(), accepted_this_term=revision > self.context.revision
             )
 
+    def _decode(self, value: Any, continuations: dict[str, Any] | None) -> Submission | None:
+        """Decode a job's record with its continuation values.
+
+        Return None, and mark the job as incomplete, if it has continuation values that were not
+        read. Raises MalformedMessageError if a value is malformed or missing.
+        """
+        spec = records.decode_job(value)
+        if not spec.more:
+            return spec
+        if continuations is None:
+            self.incomplete[spec.job_id] = None
+            return None
+        continued = [
+            job_id
+            for n in range(spec.more)
+            for job_id in records.decode_dependencies(
+                continuations.get(records.dependencies_key(spec.job_id, n))
+            )
+        ]
+        spec.depends_on = (spec.depends_on or []) + continued
+        return spec
+
     def add_job(self, spec: Submission, revision: int) -> None:
         """Add a job whose record this controller has written at ``revision``."""
         if self._is_active(spec.job_id, revision):
@@ -163,12 +177,12 @@
         """
         unresolved = self.ledger.dependency_graph.unresolved
         outcome = self.terminal_outcomes.get(job_id)
-        if outcome is None or (outcome[0] == wire_names.DONE and outcome[2] is None):
+        if outcome is None or (outcome.phase == wire_names.DONE and outcome.ended_at is None):
             outcome = await self.job_lookup.read_outcome(job_id)
         if outcome is not None:
             self.incomplete.pop(job_id, None)
             if job_id in unresolved:
-                self.ledger.resolve_dependency(job_id, outcome[0], outcome[2], self.now())
+                self.ledger.resolve_dependency(job_id, outcome.phase, outcome.ended_at, self.now())
             return
         row = await self.context.state_store.get(records.job_key(job_id))
         if row is None:
--- a/src/salthead/leader/outcomes.py
+++ b/src/salthead/leader/outcomes.py
@@ -12,52 +12,25 @@
 
 import asyncio
 import logging
-import time
-from collections.abc import Mapping
-from enum import Enum
 from itertools import islice
 from typing import Protocol
 
 from salthead import metrics
 from salthead.cluster.model import Job
 from salthead.event_log import event
-from salthead.leader.context import LeaseUncertainError, TermContext
+from salthead.leader.context import TermContext
 from salthead.leader.controller_interface import JobLookup
 from salthead.leader.indeterminate_outcomes import IndeterminateOutcomes
+from salthead.leader.outcome_writer import OutcomeWriter
 from salthead.leader.save_loop import SaveLoop
 from salthead.leader.worker_calls import WorkerCalls
-from salthead.protocol import wire_names
-from salthead.state_store import records
-from salthead.state_store.client import (
-    RETRYABLE_ERRORS,
-    Change,
-    ConflictError,
-    RequestRefusedError,
-    delete,
-    put,
-)
+from salthead.state_store.client import RETRYABLE_ERRORS, ConflictError
 from salthead.transport.client import UnansweredError
 
 log = logging.getLogger(__name__)
 
 RETRY_S = 0.5
-MAX_LOGGED_JOBS = 5  # per event
-
-
-class WriteResult(Enum):
-    """The result of a transaction that writes outcomes."""
-
-    CONFIRMED = "confirmed"
-    UNANSWERED = "unanswered"  # it may have been executed, or may be later
-    NOT_SENT = "not_sent"
-    REFUSED = "refused"
-    CONFLICT = "conflict"
-
-
-def _terminal_phase(job: Job) -> str:
-    if job.complete and not job.dependency_cancelled:
-        return wire_names.DONE
-    return wire_names.ABORTED
+CHANGES_PER_OUTCOME = 2  # one that sets the outcome, and one that deletes the job's record
 
 
 class OutcomeMemory(Protocol):
@@ -67,25 +40,6 @@
         """Add a job's outcome to the cache."""
 
 
-def _phases_for_log(phases: Mapping[str, str]) -> str:
-    """Return the first jobs of a write, each with the phase that was sent."""
-    first = islice(phases.items(), MAX_LOGGED_JOBS)
-    return ",".join(f"{job_id}:{phase}" for job_id, phase in first)
-
-
-def _record_result(result: WriteResult, phases: Mapping[str, str]) -> None:
-    """Count a write of outcomes by its result, and log it if it was not confirmed."""
-    metrics.OUTCOME_WRITES.labels(result.value).inc()
-    if result is not WriteResult.CONFIRMED:
-        event(
-            log,
-            "outcome_write_failed",
-            result=result.value,
-            jobs=len(phases),
-            first=_phases_for_log(phases),
-        )
-
-
 class Outcomes:
     """The pending and indeterminate outcomes of a term, and the loop that writes them."""
 
@@ -99,13 +53,13 @@
     ) -> None:
         self.context = context
         self.ledger = context.ledger
-        self.job_lookup = job_lookup
         self.remember_outcome = remember_outcome
         self.worker_calls = worker_calls
         self.save_loop = save_loop
         # Jobs that are complete or to be cancelled and have no outcome known to be durable.
         self.pending_writes: dict[str, Job] = {}
         self.indeterminate = IndeterminateOutcomes()
+        self.writer = OutcomeWriter(context, job_lookup, self.indeterminate, self.mark_durable)
         self.write_requested = asyncio.Event()
         self.waiters: dict[str, asyncio.Future[None]] = {}  # cancel requests by job id
 
@@ -169,101 +123,33 @@
 
     async def write_pending(self) -> None:
         """Write all pending outcomes, in batches that fit into a transaction."""
-        batch_size = max(1, self.context.state_limits.txn_ops // 2)
+        batch_size = max(1, self.context.state_limits.txn_ops // CHANGES_PER_OUTCOME)
         while self.pending_writes or self.ledger.pending_aborts:
-            # Cancelled jobs come first, because users wait for them, then jobs with dependents.
-            # Aborts that follow from a durable outcome come last: they may be reported before they
-            # are written, and a thousand of them must not hold up the others.
-            by_priority = sorted(
-                self.pending_writes.values(),
-                key=lambda job: (
-                    not job.cancel_requested,
-                    not self.ledger.dependency_graph.has_dependents(job.job_id),
-                ),
-            )
-            await self.write_batch(
-                by_priority[:batch_size]
-                or [
-                    self.ledger.jobs[job_id]
-                    for job_id in islice(self.ledger.pending_aborts, batch_size)
-                ]
-            )
+            await self.write_batch(self._next_jobs(batch_size))
 
-    async def write_batch(self, jobs: list[Job]) -> None:
-        """Write the outcomes of some jobs in one transaction."""
-        ended_at = time.time()
-        phases = {job.job_id: _terminal_phase(job) for job in jobs}
-        changes = self._outcome_changes(jobs, phases, ended_at)
-        conditions = {records.outcome_key(job.job_id): 0 for job in jobs}
-        # The cancellation of a job that depends on a durably cancelled one is certain already.
-        uncertain_phases = {
-            job.job_id: phases[job.job_id] for job in jobs if not job.dependency_cancelled
-        }
-        self._log_repeated(phases)
-        self.indeterminate.add_write(uncertain_phases)
-        try:
-            await self.context.transaction(conditions, changes)
-        except (LeaseUncertainError, RequestRefusedError) as error:
-            not_sent = isinstance(error, LeaseUncertainError)
-            _record_result(WriteResult.NOT_SENT if not_sent else WriteResult.REFUSED, phases)
-            self.indeterminate.remove_write(uncertain_phases)
-            raise
-        except ConflictError as error:
-            _record_result(WriteResult.CONFLICT, phases)
-            self.indeterminate.remove_write(uncertain_phases)
-            await self._read_conflicting(jobs, error)
-            return
-        except UnansweredError:
-            _record_result(WriteResult.UNANSWERED, phases)
-            raise
-        _record_result(WriteResult.CONFIRMED, phases)
-        for job in jobs:
-            self.mark_durable(job, phases[job.job_id], ended_at)
-
-    def _log_repeated(self, phases: Mapping[str, str]) -> None:
-        """Log the jobs of a write for which an earlier write has no result."""
-        repeated = {
-            job_id: "+".join([*self.indeterminate.phases(job_id), phase])
-            for job_id, phase in phases.items()
-            if job_id in self.indeterminate
-        }
-        if repeated:
-            event(
-                log,
-                "outcome_write_repeated",
-                jobs=len(repeated),
-                first=_phases_for_log(repeated),
-            )
-
-    def _outcome_changes(
-        self, jobs: list[Job], phases: dict[str, str], ended_at: float
-    ) -> list[Change]:
-        """Return the changes that replace the record of each job with its outcome."""
-        max_kb = self.context.state_limits.value_kb
-        changes: list[Change] = []
-        for job in jobs:
-            outcome = records.outcome_value(job.spec, phases[job.job_id], ended_at, max_kb)
-            changes.append(put(records.outcome_key(job.job_id), outcome))
-            changes.append(delete(records.job_key(job.job_id)))
-        return changes
+    def _next_jobs(self, max_jobs: int) -> list[Job]:
+        """Return the jobs whose outcomes are written next.
 
-    async def _read_conflicting(self, jobs: list[Job], conflict: ConflictError) -> None:
-        """Adopt the outcomes of an earlier write that took effect without an answer.
-
-        Raises UnansweredError if none of the jobs has an outcome.
+        Cancelled jobs come first, because users wait for them, then jobs with dependents. Aborts
+        that follow from a durable outcome come last: they may be reported before they are written,
+        and a thousand of them must not hold up the others.
         """
-        conflicting = [job for job in jobs if records.outcome_key(job.job_id) in conflict.failed]
-        for job in conflicting:
-            if not job.dependency_cancelled:
-                self.indeterminate.add_unread_outcome(job.job_id)
-        durable_count = 0
-        for job in conflicting or jobs:
-            outcome = await self.job_lookup.read_outcome(job.job_id)
-            if outcome is not None:
-                durable_count += 1
-                self.mark_durable(job, outcome[0], outcome[2])
-        if not durable_count:
-            raise UnansweredError("outcome in doubt") from None
+        if not self.pending_writes:
+            return [
+                self.ledger.jobs[job_id] for job_id in islice(self.ledger.pending_aborts, max_jobs)
+            ]
+        by_priority = sorted(
+            self.pending_writes.values(),
+            key=lambda job: (
+                not job.cancel_requested,
+                not self.ledger.dependency_graph.has_dependents(job.job_id),
+            ),
+        )
+        return by_priority[:max_jobs]
+
+    async def write_batch(self, jobs: list[Job]) -> None:
+        """Write the outcomes of some jobs in one transaction."""
+        await self.writer.write(jobs)
 
     def mark_durable(self, job: Job, phase: str, ended_at: float | None) -> None:
         """End a job whose outcome is durable, and answer the cancel requests that wait for it."""
--- a/tests/test_outcomes.py
+++ b/tests/test_outcomes.py
@@ -19,6 +19,7 @@
 from salthead.leader.context import TermContext
 from salthead.leader.outcomes import Outcomes
 from salthead.leases.leader_lease import LeaseClock
+from salthead.protocol.terminal_outcome import TerminalOutcome
 from salthead.state_store.client import Change, ConflictError, Put, RequestRefusedError
 from salthead.transport.client import UnansweredError
 from scenarios import follower_names, loaded_leader, spawn, wait_until_running
@@ -98,11 +99,11 @@
         if not self.phases.keys() & outcomes.keys():
             self.phases |= outcomes
 
-    async def read_outcome(self, job_id: str) -> tuple[str, int, float | None] | None:
+    async def read_outcome(self, job_id: str) -> TerminalOutcome | None:
         if self.fate is Fate.READ_LOST:
             raise UnansweredError("connection closed")
         phase = self.phases.get(job_id)
-        return None if phase is None else (phase, 1, None)
+        return None if phase is None else TerminalOutcome(phase, 1, None)
 
 
 class Leader:
