Build the rows of jobs in the overview apart from the overview

Change: a function of its own for the rows of jobs. The answer is the same.

Measured: test_http.py and test_cli.py pass.

--- a/src/salthead/leader/views.py
+++ b/src/salthead/leader/views.py
@@ -15,6 +15,7 @@
     from salthead.leader.link_loop import LinkLoop
     from salthead.leader.zone_loop import ZoneLoop
     from salthead.networks.silence import NetworkView
+    from salthead.zones.recovery import ZoneRecovery
 
 MAX_OVERVIEW_ROWS = 150  # each of jobs and machines
 MAX_OVERVIEW_DEPENDENCIES = 3  # per job
@@ -59,18 +60,14 @@
         ledger, now = self.ledger, self.now()
         recovery = self.zone_loop.recovery if self.zone_loop is not None else None
         links = self.link_loop.overview() if self.link_loop is not None else None
-        jobs = sorted(ledger.jobs.values(), key=lambda job: job.spec.at)
         machines = sorted(ledger.machines.values(), key=lambda machine: machine.name)
         overview = Overview(
             leader=self.member,
             fencing_token=self.context.fencing_token,
             ready=ledger.ready,
             teams=self._team_rows(),
-            jobs=[
-                self._job_row(job, waiting_reason(recovery, job) if recovery is not None else "")
-                for job in jobs[:MAX_OVERVIEW_ROWS]
-            ],
-            jobs_total=len(jobs),
+            jobs=self._job_rows(recovery),
+            jobs_total=len(ledger.jobs),
             machines=[self._machine_row(machine, now) for machine in machines[:MAX_OVERVIEW_ROWS]],
             machines_total=len(machines),
             zones=[_zone_row(view) for view in zone_views(recovery, now)] if recovery else [],
@@ -100,6 +97,14 @@
             for team, name in enumerate(ledger.team_names.names)
         ]
 
+    def _job_rows(self, recovery: ZoneRecovery | None) -> list[JobRow]:
+        """Return the rows of the jobs that were submitted first."""
+        jobs = sorted(self.ledger.jobs.values(), key=lambda job: job.spec.at)
+        return [
+            self._job_row(job, waiting_reason(recovery, job) if recovery is not None else "")
+            for job in jobs[:MAX_OVERVIEW_ROWS]
+        ]
+
     def _job_row(self, job: Job, reason: str) -> JobRow:
         phase, done, running = self.ledger.phase_of(job)
         return JobRow(
