Tell a dependent's cancellation from memory once it is certain

What callers saw: the status of a job that was cancelled itself, without an answer to that write, and then with one that it awaits, was read, or refused with 503 while the state service refuses the leader, although it was certain. Found by reading, shown by the test; not reported.

Cause: any write of an outcome without a result held the status back, even if each phase that may be durable is the one that would be told.

Change: a job that is cancelled with a dependency is told as aborted unless done has been sent for it.

--- a/src/salthead/leader/outcomes.py
+++ b/src/salthead/leader/outcomes.py
@@ -24,6 +24,7 @@
 from salthead.leader.outcome_writer import OutcomeWriter
 from salthead.leader.save_loop import SaveLoop
 from salthead.leader.worker_calls import WorkerCalls
+from salthead.protocol import wire_names
 from salthead.state_store.client import RETRYABLE_ERRORS, ConflictError
 from salthead.transport.client import UnansweredError
 
@@ -76,6 +77,8 @@
         the outcome sent from here and reported the job as done. The same applies to the
         dependents of a job that is being cancelled.
         """
+        if job.dependency_cancelled:  # reported as aborted
+            return wire_names.DONE in self.indeterminate.phases(job.job_id)
         if job.job_id in self.indeterminate:
             return True
         return job.blocked_on_dependencies and self.ledger.dependency_graph.needs(
--- a/tests/test_outcomes.py
+++ b/tests/test_outcomes.py
@@ -239,6 +239,23 @@
     asyncio.run(scenario())
 
 
+def test_a_cancelled_dependent_needs_no_read_while_its_own_cancellation_has_no_answer() -> None:
+    # Guards against a refusal of a status that is certain: both the job and one that it depends on
+    # were cancelled, and the latter durably.
+    async def scenario() -> None:
+        leader = Leader()
+        dependent = leader.ledger.jobs["req-2"]
+        leader.store.fate = Fate.NEVER_EXECUTED
+        with contextlib.suppress(UnansweredError):
+            await leader.outcomes.write_batch([dependent])
+        assert leader.phase_from_memory("req-2") is None
+        assert leader.phase_from_memory("req-3") is None
+        await leader.write(Write(ABORTED, Fate.ANSWERED))
+        assert leader.phase_from_memory("req-2") == leader.phase_from_memory("req-3") == ABORTED
+
+    asyncio.run(scenario())
+
+
 class LostOutcomeAnswers:
     """Loses the answers to the first writes of one job's outcome, executed after a delay."""
 
