Shorten functions and modules beside the outcomes

Change: the context of a term, the client of the state service, the log line of a provision, the link of two jobs and the question to the peers are functions of their own; ReleaseReason has a module; StartAttainment finds its objective itself. No behaviour changes; names in logs and metrics stay.

--- a/src/salthead/cluster/allocations.py
+++ b/src/salthead/cluster/allocations.py
@@ -7,7 +7,8 @@
 from salthead import metrics
 from salthead.cluster.invariants import Invariants
 from salthead.cluster.job_table import JobTable
-from salthead.cluster.model import Binding, Job, Machine, ReleaseReason
+from salthead.cluster.model import Binding, Job, Machine
+from salthead.cluster.release_reason import ReleaseReason
 from salthead.cluster.resources import Resources, ResourceUsage
 from salthead.event_log import event
 from salthead.protocol import wire_names
--- a/src/salthead/cluster/dependency_graph.py
+++ b/src/salthead/cluster/dependency_graph.py
@@ -68,14 +68,8 @@
         for other in self.unresolved.pop(job_id, {}):
             node.dependents[other] = None
         for other in depends_on:
-            if other in self.done_at:
-                continue
-            node.unfinished.add(other)
-            dependency = self.nodes.get(other)
-            if dependency is not None:
-                dependency.dependents[job_id] = None
-            else:
-                self.unresolved.setdefault(other, {})[job_id] = None
+            if other not in self.done_at:
+                self._link(other, job_id)
         if node.dependents:
             self._update_inherited([job_id])
         if node.unfinished:
@@ -127,6 +121,14 @@
         self._update_inherited(p for p in dependencies if p in self.nodes)
         return list(cancelled)
 
+    def _link(self, dependency: str, job_id: str) -> None:
+        self.nodes[job_id].unfinished.add(dependency)
+        node = self.nodes.get(dependency)
+        if node is not None:
+            node.dependents[job_id] = None
+        else:
+            self.unresolved.setdefault(dependency, {})[job_id] = None
+
     def _unlink(self, dependency: str, job_id: str) -> None:
         node = self.nodes.get(dependency)
         if node is not None:
--- a/src/salthead/cluster/estimates.py
+++ b/src/salthead/cluster/estimates.py
@@ -2,6 +2,10 @@
 
 from __future__ import annotations
 
+from collections.abc import Iterable
+
+from salthead.settings import Objective
+
 
 class Estimates:
     """Measured and estimated run times of completed tasks, to correct estimates by job class."""
@@ -82,6 +86,14 @@
         self.target_share = share
         self.attained_share = share
 
+    @classmethod
+    def of(cls, objectives: Iterable[Objective]) -> StartAttainment:
+        """Return the attainment of the first objective on work within guarantees, if any."""
+        for objective in objectives:
+            if objective.kind == "guarantee":
+                return cls(objective.within_s, objective.share)
+        return cls(0.0, 1.0)
+
     def record_attainment(self, in_time: bool) -> None:
         """Record whether a job started in time."""
         self.attained_share += self.WEIGHT * (float(in_time) - self.attained_share)
--- a/src/salthead/cluster/ledger.py
+++ b/src/salthead/cluster/ledger.py
@@ -24,17 +24,10 @@
 from salthead.cluster.invariants import Invariants
 from salthead.cluster.job_table import JobTable
 from salthead.cluster.machine_registry import MachineRegistry
-from salthead.cluster.model import (
-    BOOTING,
-    GONE,
-    UP,
-    Job,
-    Machine,
-    MachinePhase,
-    ReleaseReason,
-)
+from salthead.cluster.model import BOOTING, GONE, UP, Job, Machine, MachinePhase
 from salthead.cluster.orphans import OrphanTasks
 from salthead.cluster.pending_queue import PendingQueue
+from salthead.cluster.release_reason import ReleaseReason
 from salthead.cluster.silence_hooks import SilenceHooks
 from salthead.cluster.worker_leases import WorkerLeases
 from salthead.cluster.zone_hooks import ZoneHooks
@@ -133,12 +126,7 @@
         # By team: no quota is reserved for its gangs before this time.
         self.reservation_paused_until = [0.0 for _ in teams]
         self.pending = PendingQueue()
-        objective = next((o for o in self.limits.objectives if o.kind == "guarantee"), None)
-        self.start_attainment = (
-            StartAttainment(objective.within_s, objective.share)
-            if objective
-            else StartAttainment(0, 1)
-        )
+        self.start_attainment = StartAttainment.of(self.limits.objectives)
 
     # -- preconditions ------------------------------------------------------------------
 
--- a/src/salthead/cluster/model.py
+++ b/src/salthead/cluster/model.py
@@ -36,18 +36,6 @@
 LOST, GONE = MachinePhase.LOST, MachinePhase.GONE
 
 
-class ReleaseReason(StrEnum):
-    """Proof that a task is not on its machine any more."""
-
-    EXITED = "exited"
-    NOT_SHOWN = "not_shown"  # an earlier heartbeat listed it and a newer one does not
-    NEVER_STARTED = "never_started"  # not in a heartbeat newer than every answer with its start
-    NEVER_SENT = "never_told"  # no answer carried its start
-    LEASE_EXPIRED = "lease_over"
-    NEW_INCARNATION = "new_session"
-    TERMINATED = "returned"  # the cloud confirmed that the machine is gone
-
-
 @dataclass(slots=True, eq=False)
 class Binding:
     """A task bound to a machine: running there, or with its start still to be sent."""
--- a/src/salthead/cluster/sweep.py
+++ b/src/salthead/cluster/sweep.py
@@ -6,7 +6,8 @@
 import math
 
 from salthead.cluster.ledger import Ledger
-from salthead.cluster.model import LOST, UP, Machine, ReleaseReason
+from salthead.cluster.model import LOST, UP, Machine
+from salthead.cluster.release_reason import ReleaseReason
 from salthead.event_log import event
 from salthead.failure_detection.preconditions import Action, Precondition, permits
 
--- a/src/salthead/controller/context.py
+++ b/src/salthead/controller/context.py
@@ -41,13 +41,7 @@
         self.now = now
         # The limits of the state service, which all requests have to keep.
         self.state_limits = self.limits.state.effective()
-        self.state_store = state_store or StateStore(
-            settings.endpoints.state,
-            self.state_limits.rps,
-            self.state_limits.write_rps,
-            now,
-            dial,
-        )
+        self.state_store = state_store or self._connect_state_store(dial)
         self.sockets = SocketBudget(self.limits.quota.max_connections, len(settings.seeds))
         self.cloud = dial(settings.endpoints.cloud, SocketBudget.CLOUD_SLOTS)
         self.peers = {
@@ -57,6 +51,11 @@
         self.machine_types: dict[str, MachineType] = {}  # by name; empty until known
         self._last_logged_at: dict[str, float] = {}
 
+    def _connect_state_store(self, dial: Callable[[str, int], HttpClient]) -> StateStore:
+        limits = self.state_limits
+        endpoint = self.settings.endpoints.state
+        return StateStore(endpoint, limits.rps, limits.write_rps, self.now, dial)
+
     def log_throttled(self, kind: str, error: object) -> None:
         """Count an error, and log at most one of its kind per ``LOG_THROTTLE_S`` seconds."""
         metrics.ERRORS.labels(kind).inc()
--- a/src/salthead/heartbeats/task_reconciliation.py
+++ b/src/salthead/heartbeats/task_reconciliation.py
@@ -8,8 +8,9 @@
 from salthead import metrics
 from salthead.cluster.ledger import Ledger
 from salthead.cluster.machine_health import mark_unresponsive, record_task_error
-from salthead.cluster.model import Binding, Job, Machine, ReleaseReason
+from salthead.cluster.model import Binding, Job, Machine
 from salthead.cluster.orphans import OrphanKey
+from salthead.cluster.release_reason import ReleaseReason
 from salthead.cluster.start_rules import should_still_run
 from salthead.event_log import event
 from salthead.failure_detection.preconditions import Action, Precondition, permits
--- a/src/salthead/leader/autoscaler.py
+++ b/src/salthead/leader/autoscaler.py
@@ -115,21 +115,25 @@
             self.context.log_throttled("hire", error)
         finally:
             self.provisioning[kind] -= count
+        self._log_provisioned(request, provisioned)
+        if provisioned < count:
+            self.capacity_backoff.record_shortage(kind, self.context.now())
+        else:
+            self.capacity_backoff.record_success(kind)
+        self.on_provision_ended()
+
+    @staticmethod
+    def _log_provisioned(request: ProvisionRequest, provisioned: int) -> None:
         event(
             log,
             "machines_provisioned",
             request=request.name,
             provisioned=provisioned,
-            count=count,
+            count=request.count,
             machine_type=request.machine_type,
             zone=request.zone,
-            spot=spot,
+            spot=request.spot,
         )
-        if provisioned < count:
-            self.capacity_backoff.record_shortage(kind, self.context.now())
-        else:
-            self.capacity_backoff.record_success(kind)
-        self.on_provision_ended()
 
     async def _send_until_answered(self, request: ProvisionRequest) -> int:
         """Send a request until it is answered; add the provisioned machines to the ledger.
--- a/src/salthead/leader/job_records.py
+++ b/src/salthead/leader/job_records.py
@@ -96,7 +96,7 @@
                 spec, self.now(), accepted_this_term=revision > self.context.revision
             )
 
-    def _decode(self, value: Any, continuations: dict[str, Any] | None) -> Submission | None:
+    def _decode(self, value: Any, continuations: Mapping[str, Any] | None) -> Submission | None:
         """Decode a job's record with its continuation values.
 
         Return None, and mark the job as incomplete, if it has continuation values that were not
--- a/src/salthead/leader/leadership.py
+++ b/src/salthead/leader/leadership.py
@@ -140,39 +140,39 @@
         while True:
             await self.context.sleep_with_jitter(1.0)
             now = self.context.now()
-            heard, silent = self.context.ledger.count_responsive_machines(now)
-            if silent <= heard or now - self.context.ledger.term_started_at < grace_s + 1.0:
+            responsive, silent = self.context.ledger.count_responsive_machines(now)
+            if silent <= responsive or now - self.context.ledger.term_started_at < grace_s + 1.0:
                 continue
-            answers = await asyncio.gather(
-                *(ask_connectivity(peer) for peer in self.peers.values())
-            )
-            heard_by_peer = max(
-                (
-                    connectivity.redirected_workers
-                    for connectivity in answers
-                    if connectivity is not None
-                ),
-                default=0,
-            )
+            responsive_elsewhere = await self._max_workers_at_a_peer()
             confirmed = (
                 Precondition.PEER_HEARS_MORE_WORKERS
-                if self.exceeds_handover_factor(heard_by_peer, heard)
+                if self.exceeds_handover_factor(responsive_elsewhere, responsive)
                 else Precondition(0)
             )
             if self.context.permits(Action.RESIGN, confirmed):
                 self._log_ending(
-                    "resigning", heard=heard, silent=silent, heartbeats_elsewhere=heard_by_peer
+                    "resigning",
+                    heard=responsive,
+                    silent=silent,
+                    heartbeats_elsewhere=responsive_elsewhere,
                 )
                 # This lasts longer than an election, so that a controller that receives the
                 # workers' heartbeats wins it.
                 self.withhold_vote(self.context.now())
                 return
 
-    def exceeds_handover_factor(self, heard_by_peer: int, heard: int) -> bool:
+    async def _max_workers_at_a_peer(self) -> int:
+        """Return the largest number of workers whose heartbeats a peer receives."""
+        answers = await asyncio.gather(*(ask_connectivity(peer) for peer in self.peers.values()))
+        return max(
+            (answer.redirected_workers for answer in answers if answer is not None), default=0
+        )
+
+    def exceeds_handover_factor(self, responsive_at_peer: int, responsive: int) -> bool:
         """Return whether a peer hears so many more workers that it should lead.
 
         Two controllers that each hear about half of the workers would hand the leadership back
         and forth because their counts vary. With a factor above 1, the new leader can resign in
         turn only after the connectivity has changed.
         """
-        return heard_by_peer > self.handover_factor * heard
+        return responsive_at_peer > self.handover_factor * responsive
--- a/src/salthead/leader/term.py
+++ b/src/salthead/leader/term.py
@@ -87,6 +87,28 @@
     )
 
 
+def _build_context(
+    controller: ControllerInterface,
+    ledger: Ledger,
+    revision: int,
+    lease: HeldLease,
+    clock: LeaseClock,
+) -> TermContext:
+    return TermContext(
+        fencing_token=ledger.fencing_token,
+        revision=revision,
+        lease=lease,
+        lease_clock=clock,
+        ledger=ledger,
+        state_store=controller.state_store,
+        limits=controller.limits,
+        state_limits=controller.state_limits,
+        now=controller.now,
+        sleep_with_jitter=controller.sleep_with_jitter,
+        log_throttled=controller.log_throttled,
+    )
+
+
 class Term:
     """One term of a leader, from the transaction that elected it to the end of its lease."""
 
@@ -104,19 +126,7 @@
         """
         self.fencing_token = fencing_token
         self.ledger = Ledger(controller.limits, fencing_token, controller.now(), time.time())
-        self.context = TermContext(
-            fencing_token=fencing_token,
-            revision=revision,
-            lease=lease,
-            lease_clock=clock,
-            ledger=self.ledger,
-            state_store=controller.state_store,
-            limits=controller.limits,
-            state_limits=controller.state_limits,
-            now=controller.now,
-            sleep_with_jitter=controller.sleep_with_jitter,
-            log_throttled=controller.log_throttled,
-        )
+        self.context = _build_context(controller, self.ledger, revision, lease, clock)
         self.clock = clock
         self.background = BackgroundTasks()
         self.ledger.set_machine_types(controller.machine_types.values())
