--- a/src/salthead/controller/connectivity.py
+++ b/src/salthead/controller/connectivity.py
@@ -13,7 +13,7 @@
 from salthead.protocol.messages import Heartbeat
 from salthead.protocol.peer_messages import ConnectivityReport, RedirectedHeartbeat
 from salthead.state_store import records
-from salthead.state_store.client import RequestRefusedError
+from salthead.state_store.errors import RequestRefusedError
 from salthead.transport.client import HttpClient, UnansweredError
 
 # A worker whose leader hangs tries the next controller after 5 s: a time-out of 4 s, and 1 s more.
--- a/src/salthead/controller/election.py
+++ b/src/salthead/controller/election.py
@@ -23,15 +23,14 @@
 from salthead.leases import leader_lease
 from salthead.leases.leader_lease import LeaderStickiness
 from salthead.state_store import records
-from salthead.state_store.client import (
+from salthead.state_store.errors import (
     RETRYABLE_ERRORS,
     ConflictError,
     LeaseExpiredError,
     RequestRefusedError,
-    VersionedValue,
-    put,
 )
 from salthead.state_store.held_lease import HeldLease, RevocationReason
+from salthead.state_store.messages import VersionedValue, put
 from salthead.transport.client import UnansweredError
 
 LEADER_WATCH_S = 8.0
--- a/src/salthead/controller/job_reader.py
+++ b/src/salthead/controller/job_reader.py
@@ -17,7 +17,7 @@
 from salthead.protocol.messages import JobStatus, Submission
 from salthead.protocol.terminal_outcome import TerminalOutcome
 from salthead.state_store import records
-from salthead.state_store.client import VersionedValue
+from salthead.state_store.messages import VersionedValue
 from salthead.transport.client import UnansweredError
 
 # A walk over dependencies that needs more reads than this reads all active jobs at once.
--- a/src/salthead/controller/submissions.py
+++ b/src/salthead/controller/submissions.py
@@ -25,7 +25,8 @@
     shape,
 )
 from salthead.state_store import records
-from salthead.state_store.client import ConflictError, RequestRefusedError, put
+from salthead.state_store.errors import ConflictError, RequestRefusedError
+from salthead.state_store.messages import put
 from salthead.transport.client import Answer, HttpClient, UnansweredError
 
 log = logging.getLogger(__name__)
--- a/src/salthead/leader/context.py
+++ b/src/salthead/leader/context.py
@@ -10,8 +10,10 @@
 from salthead.leases.leader_lease import LeaseClock
 from salthead.settings import Limits, StateLimits
 from salthead.state_store import records
-from salthead.state_store.client import Change, ConflictError, StateStore
+from salthead.state_store.client import StateStore
+from salthead.state_store.errors import ConflictError
 from salthead.state_store.held_lease import HeldLease
+from salthead.state_store.messages import Change
 from salthead.transport.client import UnansweredError
 
 # Loops sleep for this many times the duration of their last round, which leaves 90 % of the
--- a/src/salthead/leader/job_records.py
+++ b/src/salthead/leader/job_records.py
@@ -14,7 +14,8 @@
 from salthead.protocol.messages import MalformedMessageError, Submission
 from salthead.protocol.terminal_outcome import TerminalOutcome
 from salthead.state_store import records
-from salthead.state_store.client import RETRYABLE_ERRORS, CompactedError, decode_logged_change
+from salthead.state_store.errors import RETRYABLE_ERRORS, CompactedError
+from salthead.state_store.messages import decode_logged_change
 from salthead.transport.client import UnansweredError
 
 DEPENDENCY_CHECK_INTERVAL_S = 0.2
--- a/src/salthead/leader/machine_type_records.py
+++ b/src/salthead/leader/machine_type_records.py
@@ -10,7 +10,8 @@
 from salthead.protocol.messages import MachineType
 from salthead.state_store import records
 from salthead.state_store.batches import batches
-from salthead.state_store.client import RETRYABLE_ERRORS, Change, ConflictError, delete, put
+from salthead.state_store.errors import RETRYABLE_ERRORS, ConflictError
+from salthead.state_store.messages import Change, delete, put
 
 
 class MachineTypeRecords:
--- a/src/salthead/leader/page_writer.py
+++ b/src/salthead/leader/page_writer.py
@@ -3,7 +3,8 @@
 from __future__ import annotations
 
 from salthead.leader.context import TermContext
-from salthead.state_store.client import ConflictError, delete, put
+from salthead.state_store.errors import ConflictError
+from salthead.state_store.messages import delete, put
 from salthead.state_store.pages import PageBatch, Pages
 
 BATCH_KB = 56.0  # a transaction has at most 64 KiB
--- a/src/salthead/leader/save_loop.py
+++ b/src/salthead/leader/save_loop.py
@@ -9,7 +9,8 @@
 from salthead.leader.context import TermContext
 from salthead.leader.done_task_pages import DoneTaskPages
 from salthead.state_store import records
-from salthead.state_store.client import RETRYABLE_ERRORS, ConflictError, delete
+from salthead.state_store.errors import RETRYABLE_ERRORS, ConflictError
+from salthead.state_store.messages import delete
 
 # Workers keep the result of a done task until it is saved, so these writes can be rare.
 SAVE_INTERVAL_S = 2.0
--- a/src/salthead/leader/term.py
+++ b/src/salthead/leader/term.py
@@ -35,7 +35,7 @@
 from salthead.leases.leader_lease import LeaseClock
 from salthead.policy import PartialCutPolicy
 from salthead.protocol.messages import Command, Heartbeat, JobStatus
-from salthead.state_store.client import RETRYABLE_ERRORS, RequestRefusedError
+from salthead.state_store.errors import RETRYABLE_ERRORS, RequestRefusedError
 from salthead.state_store.held_lease import HeldLease, RevocationReason
 from salthead.transport.client import UnansweredError
 
--- a/src/salthead/leader/zone_lease_delegations.py
+++ b/src/salthead/leader/zone_lease_delegations.py
@@ -13,15 +13,8 @@
 from salthead.leader.context import TermContext
 from salthead.leases.zone_leases import delegation_end_for_leader
 from salthead.state_store import records
-from salthead.state_store.client import (
-    RETRYABLE_ERRORS,
-    CompactedError,
-    ConflictError,
-    VersionedValue,
-    decode_logged_change,
-    delete,
-    put,
-)
+from salthead.state_store.errors import RETRYABLE_ERRORS, CompactedError, ConflictError
+from salthead.state_store.messages import VersionedValue, decode_logged_change, delete, put
 
 WATCH_TIMEOUT_S = 10.0
 RETRY_S = 0.5
--- a/src/salthead/leader/zone_loop.py
+++ b/src/salthead/leader/zone_loop.py
@@ -10,7 +10,8 @@
 from salthead.leader.declared_networks import network_silence
 from salthead.policy import Network, ZonePolicy
 from salthead.state_store.batches import batches
-from salthead.state_store.client import RETRYABLE_ERRORS, ConflictError, VersionedValue, put
+from salthead.state_store.errors import RETRYABLE_ERRORS, ConflictError
+from salthead.state_store.messages import VersionedValue, put
 from salthead.zones import records
 from salthead.zones.record_writer import KeyedRecord
 from salthead.zones.recovery import ZoneRecovery
--- a/src/salthead/state_store/client.py
+++ b/src/salthead/state_store/client.py
@@ -3,118 +3,19 @@
 from __future__ import annotations
 
 from collections.abc import Callable, Sequence
-from typing import Any, NamedTuple
+from typing import Any
 
-import msgspec
-
-from salthead.errors import SaltheadError
 from salthead.protocol import wire_names
-from salthead.protocol.messages import MalformedMessageError, shape
-from salthead.transport.client import Answer, HttpClient, UnansweredError
-from salthead.transport.limits import TokenBucket
-
-
-class VersionedValue(NamedTuple):
-    """A stored value and the revision of its last write."""
-
-    value: Any
-    revision: int
-
-
-class RequestRefusedError(SaltheadError):
-    """The state service answered the request but did not execute it."""
-
-    def __init__(self, status: int, operation: str) -> None:
-        super().__init__(f"{status} {operation}")
-        self.status = status
-
-
-class ConflictError(SaltheadError):
-    """A compare-and-swap condition of a transaction did not hold."""
-
-    def __init__(self, failed_keys: list[str]) -> None:
-        super().__init__(f"conditions failed: {failed_keys}")
-        self.failed = failed_keys
-
-
-class LeaseExpiredError(SaltheadError):
-    """The lease has expired or was revoked."""
-
-
-class CompactedError(SaltheadError):
-    """The change log no longer holds the epoch that a watch asked for."""
-
-
-# Errors that background loops log before they retry.
-RETRYABLE_ERRORS = (
-    RequestRefusedError,
-    UnansweredError,
-    MalformedMessageError,
-    LeaseExpiredError,
+from salthead.protocol.messages import shape
+from salthead.state_store.errors import (
     CompactedError,
+    ConflictError,
+    LeaseExpiredError,
+    RequestRefusedError,
 )
-
-
-class Put(msgspec.Struct, frozen=True, omit_defaults=True):
-    """A change that sets a key; with a lease, the key is removed when the lease ends."""
-
-    key: str = msgspec.field(name="set")
-    value: Any
-    lease_id: int | None = msgspec.field(name="tether", default=None)
-
-
-class Delete(msgspec.Struct, frozen=True):
-    """A change that removes a key."""
-
-    key: str = msgspec.field(name="drop")
-
-
-Change = Put | Delete
-
-
-def put(key: str, value: Any, lease_id: int | None = None) -> Put:
-    """Return a change that sets a key, attached to a lease if one is given."""
-    return Put(key, value, lease_id)
-
-
-def delete(key: str) -> Delete:
-    """Return a change that removes a key."""
-    return Delete(key)
-
-
-class Condition(msgspec.Struct, frozen=True):
-    """A revision that a key must have; 0 requires that the key does not exist."""
-
-    key: str = msgspec.field(name="path")
-    revision: int = msgspec.field(name="stamp")
-
-
-class Transaction(msgspec.Struct, frozen=True):
-    """The body of POST /txn: changes that are applied atomically if all conditions hold."""
-
-    conditions: list[Condition] = msgspec.field(name="when")
-    changes: list[Change] = msgspec.field(name="apply")
-
-
-class ListedRow(msgspec.Struct):
-    """One key in the answer to a list request."""
-
-    key: str = msgspec.field(name="path")
-    revision: int = msgspec.field(name="stamp")
-    value: Any = None
-
-
-class LoggedChange(msgspec.Struct):
-    """An entry of the change log; ``key`` is None if the entry removes a key."""
-
-    key: str | None = msgspec.field(name="set", default=None)
-    value: Any = None
-    revision: int = msgspec.field(name="stamp", default=0)
-
-
-def decode_logged_change(entry: Any) -> LoggedChange:
-    """Decode an entry of the change log; raises MalformedMessageError if it is malformed."""
-    return shape(entry, LoggedChange)
+from salthead.state_store.messages import Change, Condition, ListedRow, Transaction, VersionedValue
+from salthead.transport.client import Answer, HttpClient, UnansweredError
+from salthead.transport.limits import TokenBucket
 
 
 def _required_int(body: dict[str, Any], name: str) -> int:
--- a/tests/test_http.py
+++ b/tests/test_http.py
@@ -16,7 +16,8 @@
 from salthead.controller.handlers import ClientHandlers
 from salthead.protocol.messages import Submission, encode
 from salthead.state_store import records
-from salthead.state_store.client import ConflictError, Put, RequestRefusedError, VersionedValue
+from salthead.state_store.errors import ConflictError, RequestRefusedError
+from salthead.state_store.messages import Put, VersionedValue
 
 JOB: dict[str, Any] = {
     "uid": "req-7",
--- a/tests/test_malformed_records.py
+++ b/tests/test_malformed_records.py
@@ -9,7 +9,8 @@
 import pytest
 
 from salthead import metrics
-from salthead.state_store.client import RETRYABLE_ERRORS, StateStore
+from salthead.state_store.client import StateStore
+from salthead.state_store.errors import RETRYABLE_ERRORS
 from salthead.transport.client import Answer
 from standins import World, run
 
