Log what a load waits for, and by what right heartbeats are answered without it

Change: each request to the state service has a class; counts by class and result, gauges of those that wait, and the events records_read, load_slow, unloaded_heartbeat and state_requests_refused. Each is one line per term, per 2 s of a load or per 10 s. No behaviour changes, except that a 400 of a transaction counts as an answer of the state service.

--- a/src/salthead/cluster/ledger.py
+++ b/src/salthead/cluster/ledger.py
@@ -29,6 +29,7 @@
 from salthead.cluster.pending_queue import PendingQueue
 from salthead.cluster.release_reason import ReleaseReason
 from salthead.cluster.silence_hooks import SilenceHooks
+from salthead.cluster.unloaded_heartbeats import UnloadedHeartbeats
 from salthead.cluster.worker_leases import WorkerLeases
 from salthead.cluster.zone_hooks import ZoneHooks
 from salthead.failure_detection.blocked_actions import BlockedActions
@@ -65,6 +66,7 @@
         # Wall clock minus monotonic clock: records hold submission times as wall-clock times, and
         # all other times in the ledger are monotonic.
         self.wall_clock_offset_s = 0.0 if wall is None else wall - now
+        self.unloaded_heartbeats = UnloadedHeartbeats(fencing_token)
         self.loaded = False  # the records of earlier leaders have been read
         self.ready = False  # loaded, and every registered machine is reconciled
         self.newer_fencing_token = 0
--- a/src/salthead/controller/connectivity.py
+++ b/src/salthead/controller/connectivity.py
@@ -14,6 +14,7 @@
 from salthead.protocol.peer_messages import ConnectivityReport, RedirectedHeartbeat
 from salthead.state_store import records
 from salthead.state_store.errors import RequestRefusedError
+from salthead.state_store.request_stats import RequestClass
 from salthead.transport.client import HttpClient, UnansweredError
 
 # A worker whose leader hangs tries the next controller after 5 s: a time-out of 4 s, and 1 s more.
@@ -61,7 +62,7 @@
                 continue
             try:
                 await self.context.state_store.get(
-                    records.LEADER, timeout=CONNECTIVITY_CHECK_INTERVAL_S, urgent=True
+                    records.LEADER, RequestClass.LEASE, timeout=CONNECTIVITY_CHECK_INTERVAL_S
                 )
             except (RequestRefusedError, UnansweredError):
                 await asyncio.gather(
--- a/src/salthead/controller/election.py
+++ b/src/salthead/controller/election.py
@@ -31,6 +31,7 @@
 )
 from salthead.state_store.held_lease import HeldLease, RevocationReason
 from salthead.state_store.messages import VersionedValue, put
+from salthead.state_store.request_stats import RequestClass
 from salthead.transport.client import UnansweredError
 
 LEADER_WATCH_S = 8.0
@@ -90,7 +91,7 @@
 
     async def _act_on_leader_key(self) -> None:
         """Read the leader's key, then lead, follow the leader or campaign."""
-        row = await self.context.state_store.get(records.LEADER, urgent=True)
+        row = await self.context.state_store.get(records.LEADER, RequestClass.LEASE)
         if row is None:
             await self._campaign(None, None)
             return
@@ -116,7 +117,7 @@
             return False
         try:
             await self.context.state_store.get(
-                records.LEADER, timeout=VOTE_CHECK_TIMEOUT_S, urgent=True
+                records.LEADER, RequestClass.LEASE, timeout=VOTE_CHECK_TIMEOUT_S
             )
             return False
         except (RequestRefusedError, UnansweredError):
@@ -174,7 +175,7 @@
         state_store = self.context.state_store
         self.leader_view.member = None
         own_key = record is not None and record.member == self.member
-        token_row = await state_store.get(records.FENCING_TOKEN, urgent=True)
+        token_row = await state_store.get(records.FENCING_TOKEN, RequestClass.LEASE)
         if self.campaign is not None and self.leader_stickiness.campaign_indeterminate:
             await self._revoke_campaign(self.campaign, RevocationReason.CAMPAIGN_INDETERMINATE)
         if not self._may_become_leader(own_key, token_row is None):
@@ -225,7 +226,7 @@
                         msgspec.to_builtins(FencingTokenRecord(fencing_token)),
                     ),
                 ],
-                urgent=True,
+                request_class=RequestClass.LEASE,
             )
             self.leader_stickiness.campaign_indeterminate = False
         except (ConflictError, RequestRefusedError, LeaseExpiredError):
--- a/src/salthead/controller/job_reader.py
+++ b/src/salthead/controller/job_reader.py
@@ -18,6 +18,7 @@
 from salthead.protocol.terminal_outcome import TerminalOutcome
 from salthead.state_store import records
 from salthead.state_store.messages import VersionedValue
+from salthead.state_store.request_stats import RequestClass
 from salthead.transport.client import UnansweredError
 
 # A walk over dependencies that needs more reads than this reads all active jobs at once.
@@ -51,14 +52,18 @@
         self.leader_view = leader_view
         self.job_cache = job_cache
 
-    async def read_dependencies(self, spec: Submission) -> Submission:
+    async def read_dependencies(
+        self, spec: Submission, request_class: RequestClass = RequestClass.USER
+    ) -> Submission:
         """Return a job with all its dependencies, including those stored under further keys.
 
         Raises UnansweredError if one of these keys is missing.
         """
         depends_on = list(spec.depends_on or [])
         for number in range(spec.more):
-            row = await self.context.state_store.get(records.dependencies_key(spec.job_id, number))
+            row = await self.context.state_store.get(
+                records.dependencies_key(spec.job_id, number), request_class
+            )
             if row is None:
                 raise UnansweredError("job record: a part is missing")
             depends_on += records.decode_dependencies(row.value)
@@ -105,7 +110,9 @@
         if in_memory:
             return phase
         if walk.read_count == MAX_SINGLE_READS:
-            walk.active_jobs, _ = await self.context.state_store.list_prefix(records.JOBS)
+            walk.active_jobs, _ = await self.context.state_store.list_prefix(
+                records.JOBS, RequestClass.USER
+            )
         walk.read_count += 1
         row = None
         if walk.active_jobs is not None:
@@ -141,7 +148,7 @@
                 return outcome.phase
             if job_id in self.job_cache.dependencies:
                 return None
-            row = await self.context.state_store.get(records.job_key(job_id))
+            row = await self.context.state_store.get(records.job_key(job_id), RequestClass.USER)
         if row is None:  # it has ended since the first read, or was never accepted
             if (outcome := await self.read_outcome(job_id)) is not None:
                 return outcome.phase
@@ -152,9 +159,11 @@
             )
         return None
 
-    async def read_outcome(self, job_id: str) -> TerminalOutcome | None:
+    async def read_outcome(
+        self, job_id: str, request_class: RequestClass = RequestClass.USER
+    ) -> TerminalOutcome | None:
         """Read and cache the outcome of a job; None if it has none."""
-        row = await self.context.state_store.get(records.outcome_key(job_id))
+        row = await self.context.state_store.get(records.outcome_key(job_id), request_class)
         if row is None:
             return None
         phase, spec = records.decode_outcome(row.value)
@@ -163,7 +172,7 @@
 
     async def read_status(self, job_id: str) -> JobStatus | None:
         """Return a job's status by a consistent read; None if the job was never accepted."""
-        row = await self.context.state_store.get(records.job_key(job_id))
+        row = await self.context.state_store.get(records.job_key(job_id), RequestClass.USER)
         if row is None:
             outcome = await self.read_outcome(job_id)
             return None if outcome is None else outcome.status(job_id)
--- a/src/salthead/controller/machine_types.py
+++ b/src/salthead/controller/machine_types.py
@@ -8,6 +8,7 @@
 from salthead.protocol.messages import MachineType, MachineTypes, shape
 from salthead.state_store import records
 from salthead.state_store.errors import RETRYABLE_ERRORS, ConflictError, RequestRefusedError
+from salthead.state_store.request_stats import RequestClass
 
 REFRESH_INTERVAL_S, RETRY_S = 60.0, 2.0  # after a successful and a failed read
 CLOUD_TIMEOUT_S = 3.0
@@ -49,10 +50,12 @@
         return shape(answer.body, MachineTypes).machine_types
 
     async def _read_stored(self) -> list[MachineType]:
-        rows, _ = await self.context.state_store.list_prefix(records.MACHINE_TYPE_PARTS)
+        rows, _ = await self.context.state_store.list_prefix(
+            records.MACHINE_TYPE_PARTS, RequestClass.LEADER
+        )
         stored = records.join_machine_types({key: row.value for key, row in rows.items()})
         if stored is None:
-            row = await self.context.state_store.get(records.MACHINE_TYPES)
+            row = await self.context.state_store.get(records.MACHINE_TYPES, RequestClass.LEADER)
             stored = None if row is None else row.value
         return [] if stored is None else shape(stored, MachineTypes).machine_types
 
--- a/src/salthead/controller/zone_lease_delegate.py
+++ b/src/salthead/controller/zone_lease_delegate.py
@@ -14,6 +14,7 @@
 from salthead.state_store import records
 from salthead.state_store.errors import RETRYABLE_ERRORS, ConflictError
 from salthead.state_store.messages import delete, put
+from salthead.state_store.request_stats import RequestClass
 from salthead.transport.client import UnansweredError
 
 # Consecutive calls to the leader without an answer, after which a delegation is requested.
@@ -74,22 +75,26 @@
             self.context.now(),
         )
         await self.context.state_store.transaction(
-            {}, [put(records.DELEGATION_REQUESTS + member, request)], urgent=True
+            {},
+            [put(records.DELEGATION_REQUESTS + member, request)],
+            request_class=RequestClass.LEASE,
         )
         for _ in range(MAX_GRANT_READS):
             await self.context.sleep_with_jitter(self.lease.ttl / 24.0)
-            row = await self.context.state_store.get(records.DELEGATIONS + member, urgent=True)
+            row = await self.context.state_store.get(
+                records.DELEGATIONS + member, request_class=RequestClass.LEASE
+            )
             if row is not None and self.lease.accept_grant(row.value):
                 return
 
     async def _delete_request(self) -> None:
         key = records.DELEGATION_REQUESTS + self.member
-        row = await self.context.state_store.get(key, urgent=True)
+        row = await self.context.state_store.get(key, request_class=RequestClass.LEASE)
         if row is not None:
             # Conditional on the revision: a delete that is executed late must not remove a later
             # request, from which the next leader learns of a delegation.
             await self.context.state_store.transaction(
-                {key: row.revision}, [delete(key)], urgent=True
+                {key: row.revision}, [delete(key)], request_class=RequestClass.LEASE
             )
 
     def may_acknowledge(self, heartbeat: Heartbeat) -> bool:
--- a/src/salthead/heartbeats/handling.py
+++ b/src/salthead/heartbeats/handling.py
@@ -86,6 +86,9 @@
         _record_acknowledgements(ledger, machine, heartbeat, current, now)
     held = _acknowledgement_preconditions(ledger, machine, heartbeat, current or direct, now)
     missing = missing_preconditions(Action.ACKNOWLEDGE_HEARTBEAT, held)
+    if not ledger.loaded:
+        until = ledger.term_started_at + ledger.unloaded_grace_s
+        ledger.unloaded_heartbeats.record(heartbeat.worker, not missing, until, now)
     if missing:
         ledger.blocked_actions.record(Action.ACKNOWLEDGE_HEARTBEAT, missing, now)
         return None
--- a/src/salthead/leader/cancellation.py
+++ b/src/salthead/leader/cancellation.py
@@ -11,6 +11,7 @@
 from salthead.protocol import wire_names
 from salthead.protocol.messages import JobStatus
 from salthead.state_store import records
+from salthead.state_store.request_stats import RequestClass
 from salthead.transport.client import UnansweredError
 
 
@@ -56,7 +57,7 @@
 
     async def _load_job(self, job_id: str) -> Job:
         """Load an accepted job that is not over into the ledger, and return it."""
-        row = await self.context.state_store.get(records.job_key(job_id))
+        row = await self.context.state_store.get(records.job_key(job_id), RequestClass.USER)
         if row is None or not self.ledger.loaded:
             raise UnansweredError("cancel in doubt")
         self.job_records.apply_row(records.job_key(job_id), *row)
--- a/src/salthead/leader/context.py
+++ b/src/salthead/leader/context.py
@@ -14,6 +14,7 @@
 from salthead.state_store.errors import ConflictError
 from salthead.state_store.held_lease import HeldLease
 from salthead.state_store.messages import Change
+from salthead.state_store.request_stats import RequestClass
 from salthead.transport.client import UnansweredError
 
 # Loops sleep for this many times the duration of their last round, which leaves 90 % of the
@@ -59,8 +60,7 @@
         self,
         conditions: dict[str, int],
         changes: Sequence[Change],
-        bulk: bool = False,
-        urgent: bool = False,
+        request_class: RequestClass = RequestClass.WRITE,
     ) -> int:
         """Make changes only if this term still leads; return the epoch after the write.
 
@@ -71,7 +71,7 @@
             raise LeaseUncertainError("lease not certain")
         try:
             return await self.state_store.transaction(
-                {records.LEADER: self.revision} | conditions, changes, bulk=bulk, urgent=urgent
+                {records.LEADER: self.revision} | conditions, changes, request_class=request_class
             )
         except ConflictError as error:
             if records.LEADER in error.failed:
--- a/src/salthead/leader/controller_interface.py
+++ b/src/salthead/leader/controller_interface.py
@@ -12,16 +12,21 @@
 from salthead.protocol.terminal_outcome import TerminalOutcome
 from salthead.settings import Limits, Settings, StateLimits
 from salthead.state_store.client import StateStore
+from salthead.state_store.request_stats import RequestClass
 from salthead.transport.client import HttpClient
 
 
 class JobLookup(Protocol):
     """Consistent reads of jobs in the state service."""
 
-    async def read_outcome(self, job_id: str) -> TerminalOutcome | None:
+    async def read_outcome(
+        self, job_id: str, request_class: RequestClass = RequestClass.USER
+    ) -> TerminalOutcome | None:
         """Return the outcome of a job, or None if it has none."""
 
-    async def read_dependencies(self, spec: Submission) -> Submission:
+    async def read_dependencies(
+        self, spec: Submission, request_class: RequestClass = RequestClass.USER
+    ) -> Submission:
         """Return a job with the dependencies that are stored in continuation values."""
 
     async def read_status(self, job_id: str) -> JobStatus | None:
--- a/src/salthead/leader/job_records.py
+++ b/src/salthead/leader/job_records.py
@@ -9,6 +9,7 @@
 from salthead.leader.controller_interface import JobLookup
 from salthead.leader.done_task_pages import DoneTaskPages
 from salthead.leader.machine_registry_records import MachineRegistryRecords
+from salthead.leader.record_reader import RecordReader
 from salthead.leader.save_loop import SaveLoop
 from salthead.protocol import wire_names
 from salthead.protocol.messages import MalformedMessageError, Submission
@@ -16,6 +17,7 @@
 from salthead.state_store import records
 from salthead.state_store.errors import RETRYABLE_ERRORS, CompactedError
 from salthead.state_store.messages import decode_logged_change
+from salthead.state_store.request_stats import RequestClass
 from salthead.transport.client import UnansweredError
 
 DEPENDENCY_CHECK_INTERVAL_S = 0.2
@@ -45,20 +47,20 @@
         # Jobs whose record has continuation values that have not been read.
         self.incomplete: dict[str, None] = {}
 
-    async def load(self) -> None:
+    async def load(self, reader: RecordReader) -> None:
         """Load the jobs, done tasks and registered machines of earlier terms."""
-        list_prefix = self.context.state_store.list_prefix
-        jobs, self.known_epoch = await list_prefix(records.JOBS)
-        done_tasks, _ = await list_prefix(records.DONE_TASKS)
-        machines, _ = await list_prefix(records.MACHINE_REGISTRY)
+        jobs = await reader.read(records.JOBS)
+        self.known_epoch = jobs.epoch
+        done_tasks = (await reader.read(records.DONE_TASKS)).rows
+        machines = (await reader.read(records.MACHINE_REGISTRY)).rows
         now = self.now()
         self.done_tasks.clear()
         self.machine_registry.clear()
         # Read after the jobs: a record and its continuation values are written in one transaction,
         # so none is missing for a job that was listed.
-        rows, _ = await list_prefix(records.DEPENDENCIES)
+        rows = (await reader.read(records.DEPENDENCIES)).rows
         continuations = {key: value for key, (value, _) in rows.items()}
-        for key, (value, revision) in jobs.items():
+        for key, (value, revision) in jobs.rows.items():
             self.apply_row(key, value, revision, continuations, loading=True)
         self.save_loop.stale_dependencies = {
             key: job_id
@@ -149,7 +151,7 @@
             except CompactedError:
                 try:
                     rows, self.known_epoch = await self.context.state_store.list_prefix(
-                        records.JOBS
+                        records.JOBS, RequestClass.LEADER
                     )
                     for key, (value, revision) in rows.items():
                         self.apply_row(key, value, revision)
@@ -179,17 +181,19 @@
         unresolved = self.ledger.dependency_graph.unresolved
         outcome = self.terminal_outcomes.get(job_id)
         if outcome is None or (outcome.phase == wire_names.DONE and outcome.ended_at is None):
-            outcome = await self.job_lookup.read_outcome(job_id)
+            outcome = await self.job_lookup.read_outcome(job_id, RequestClass.LEADER)
         if outcome is not None:
             self.incomplete.pop(job_id, None)
             if job_id in unresolved:
                 self.ledger.resolve_dependency(job_id, outcome.phase, outcome.ended_at, self.now())
             return
-        row = await self.context.state_store.get(records.job_key(job_id))
+        row = await self.context.state_store.get(records.job_key(job_id), RequestClass.LEADER)
         if row is None:
             raise UnansweredError(f"no record of {job_id}")
         if job_id not in self.ledger.jobs:
-            spec = await self.job_lookup.read_dependencies(records.decode_job(row.value))
+            spec = await self.job_lookup.read_dependencies(
+                records.decode_job(row.value), RequestClass.LEADER
+            )
             self.incomplete.pop(job_id, None)
             self.ledger.add_job(
                 spec, self.now(), accepted_this_term=row.revision > self.context.revision
--- a/src/salthead/leader/machine_type_records.py
+++ b/src/salthead/leader/machine_type_records.py
@@ -12,6 +12,7 @@
 from salthead.state_store.batches import batches
 from salthead.state_store.errors import RETRYABLE_ERRORS, ConflictError
 from salthead.state_store.messages import Change, delete, put
+from salthead.state_store.request_stats import RequestClass
 
 
 class MachineTypeRecords:
@@ -47,7 +48,9 @@
         if not machine_types or machine_types == self.stored:
             return
         # The prefix covers the single value and the parts of a divided one.
-        existing, _ = await self.context.state_store.list_prefix(records.MACHINE_TYPES)
+        existing, _ = await self.context.state_store.list_prefix(
+            records.MACHINE_TYPES, RequestClass.LEADER
+        )
         self.stored = None
         for batch in batches(
             self._changes(machine_types, existing), self.context.state_limits.txn_ops
--- a/src/salthead/leader/orphan_jobs.py
+++ b/src/salthead/leader/orphan_jobs.py
@@ -5,6 +5,7 @@
 from salthead.leader.context import TermContext
 from salthead.state_store import records
 from salthead.state_store.errors import RETRYABLE_ERRORS
+from salthead.state_store.request_stats import RequestClass
 
 CHECK_INTERVAL_S = 0.5
 
@@ -21,7 +22,9 @@
         while True:
             for job_id in list(self.ledger.unknown_jobs):
                 try:
-                    row = await self.context.state_store.get(records.outcome_key(job_id))
+                    row = await self.context.state_store.get(
+                        records.outcome_key(job_id), RequestClass.LEADER
+                    )
                     if row is not None:
                         self.ledger.orphans.identify_job(records.decode_outcome(row.value)[1])
                 except RETRYABLE_ERRORS as error:
--- a/src/salthead/leader/page_writer.py
+++ b/src/salthead/leader/page_writer.py
@@ -6,6 +6,7 @@
 from salthead.state_store.errors import ConflictError
 from salthead.state_store.messages import delete, put
 from salthead.state_store.pages import PageBatch, Pages
+from salthead.state_store.request_stats import RequestClass
 
 BATCH_KB = 56.0  # a transaction has at most 64 KiB
 
@@ -25,13 +26,13 @@
                 put(pages.key(page), content) if content else delete(pages.key(page))
                 for page, (_, content) in batch.items()
             ],
-            bulk=True,
+            request_class=RequestClass.BULK_WRITE,
         )
     except ConflictError:
         # An earlier write without an answer took effect. With the stored revisions the next write
         # replaces it.
         for page in batch:
-            row = await context.state_store.get(pages.key(page))
+            row = await context.state_store.get(pages.key(page), RequestClass.LEADER)
             pages.revisions[page] = row.revision if row is not None else 0
         raise
     pages.written(batch, revision)
--- a/src/salthead/leader/save_loop.py
+++ b/src/salthead/leader/save_loop.py
@@ -11,6 +11,7 @@
 from salthead.state_store import records
 from salthead.state_store.errors import RETRYABLE_ERRORS, ConflictError
 from salthead.state_store.messages import delete
+from salthead.state_store.request_stats import RequestClass
 
 # Workers keep the result of a done task until it is saved, so these writes can be rare.
 SAVE_INTERVAL_S = 2.0
@@ -54,7 +55,7 @@
                 await self.context.transaction(
                     {records.job_key(self.stale_dependencies[key]): 0 for key in keys},
                     [delete(key) for key in keys],
-                    bulk=True,
+                    request_class=RequestClass.BULK_WRITE,
                 )
             for key in keys:
                 del self.stale_dependencies[key]
--- a/src/salthead/leader/term.py
+++ b/src/salthead/leader/term.py
@@ -9,6 +9,7 @@
 from collections.abc import Coroutine
 from typing import TYPE_CHECKING, Any
 
+from salthead import metrics
 from salthead.cluster.ledger import Ledger
 from salthead.event_log import error_event, event
 from salthead.heartbeats.handling import handle_heartbeat
@@ -27,6 +28,7 @@
 from salthead.leader.machine_type_records import MachineTypeRecords
 from salthead.leader.orphan_jobs import UnknownJobLookupLoop
 from salthead.leader.outcomes import Outcomes
+from salthead.leader.record_reader import RecordReader
 from salthead.leader.save_loop import SaveLoop
 from salthead.leader.scheduling_loop import SchedulingLoop
 from salthead.leader.views import Views
@@ -150,6 +152,7 @@
     def _build_records(self, controller: ControllerInterface) -> None:
         """Build the components that read and write the records in the state service."""
         context, job_reader = self.context, controller.job_reader
+        self.record_reader = RecordReader(context)
         self.done_tasks = DoneTaskPages(context)
         self.machine_registry = MachineRegistryRecords(context, self.request_scheduling_pass)
         self.save_loop = SaveLoop(context, self.done_tasks)
@@ -245,12 +248,7 @@
 
     async def work_loop(self) -> None:
         """Load the records of earlier terms, then run the loops that act on the cluster."""
-        while not self.ledger.loaded:
-            try:
-                await self._load()
-            except RETRYABLE_ERRORS as error:
-                self.context.log_throttled("load", error)
-                await self.context.sleep_with_jitter(LOAD_RETRY_S)
+        await self._load_until_done()
         self.background.spawn(
             self.worker_calls.reconcile_all(self.ledger.failover.unreconciled_machines())
         )
@@ -258,11 +256,28 @@
             for loop in self._loops():
                 group.create_task(loop)
 
+    async def _load_until_done(self) -> None:
+        """Load the records of earlier terms, again after each error."""
+        reports = asyncio.create_task(self.record_reader.report_slow_loop())
+        try:
+            await self._retry_load()
+        finally:
+            reports.cancel()
+            metrics.LOADING_SECONDS.set(0.0)
+
+    async def _retry_load(self) -> None:
+        while not self.ledger.loaded:
+            try:
+                await self._load()
+            except RETRYABLE_ERRORS as error:
+                self.context.log_throttled("load", error)
+                await self.context.sleep_with_jitter(LOAD_RETRY_S)
+
     async def _load(self) -> None:
         """Load the records of earlier terms into the ledger."""
         ledger = self.ledger
-        await self.job_records.load()
-        await self.zone_lease_delegations.load()
+        await self.job_records.load(self.record_reader)
+        await self.zone_lease_delegations.load(self.record_reader)
         ledger.loaded = True
         event(
             log,
--- a/src/salthead/leader/zone_lease_delegations.py
+++ b/src/salthead/leader/zone_lease_delegations.py
@@ -11,10 +11,12 @@
 from typing import Any
 
 from salthead.leader.context import TermContext
+from salthead.leader.record_reader import RecordReader
 from salthead.leases.zone_leases import delegation_end_for_leader
 from salthead.state_store import records
 from salthead.state_store.errors import RETRYABLE_ERRORS, CompactedError, ConflictError
 from salthead.state_store.messages import VersionedValue, decode_logged_change, delete, put
+from salthead.state_store.request_stats import RequestClass
 
 WATCH_TIMEOUT_S = 10.0
 RETRY_S = 0.5
@@ -39,7 +41,7 @@
         self.known_epoch = known_epoch
         self.earlier_grants: dict[str, int] = {}  # keys and revisions of earlier terms' grants
 
-    async def load(self) -> None:
+    async def load(self, reader: RecordReader) -> None:
         """Count worker leases from the time when the grants of earlier leaders have expired.
 
         The grants are read after this term has begun. Every write of an earlier leader is
@@ -47,11 +49,11 @@
         without a grant delegates nothing.
         """
         context = self.context
-        requests, _ = await context.state_store.list_prefix(records.DELEGATION_REQUESTS)
+        requests = (await reader.read(records.DELEGATION_REQUESTS)).rows
         members = {key.removeprefix(records.DELEGATION_REQUESTS) for key in requests}
         grants: dict[str, VersionedValue] = {}
         if self.partial_cuts_enabled:
-            grants, _ = await context.state_store.list_prefix(records.DELEGATIONS)
+            grants = (await reader.read(records.DELEGATIONS)).rows
         self.earlier_grants = {key: revision for key, (_, revision) in grants.items()}
         context.ledger.leases.counted_from = context.now()
         if self.partial_cuts_enabled:
@@ -97,7 +99,9 @@
         if context.ledger.leases.delegate_zone(str(request.get("area")), until):
             delegation = {"token": context.fencing_token, "nonce": request.get("nonce")}
             await context.transaction(
-                {}, [put(records.DELEGATIONS + member, delegation)], urgent=True
+                {},
+                [put(records.DELEGATIONS + member, delegation)],
+                request_class=RequestClass.LEASE,
             )
 
     async def delete_expired_loop(self) -> None:
@@ -108,7 +112,9 @@
             )
             key, revision = next(iter(self.earlier_grants.items()))
             try:
-                await self.context.transaction({key: revision}, [delete(key)], bulk=True)
+                await self.context.transaction(
+                    {key: revision}, [delete(key)], request_class=RequestClass.BULK_WRITE
+                )
             except ConflictError:
                 pass  # this leader has written a new grant under the key since
             except RETRYABLE_ERRORS as error:
--- a/src/salthead/leader/zone_loop.py
+++ b/src/salthead/leader/zone_loop.py
@@ -12,6 +12,7 @@
 from salthead.state_store.batches import batches
 from salthead.state_store.errors import RETRYABLE_ERRORS, ConflictError
 from salthead.state_store.messages import VersionedValue, put
+from salthead.state_store.request_stats import RequestClass
 from salthead.zones import records
 from salthead.zones.record_writer import KeyedRecord
 from salthead.zones.recovery import ZoneRecovery
@@ -67,7 +68,9 @@
         """Load the stored zone states; once the ledger is ready, give up and only observe."""
         while not self.context.ledger.ready:
             try:
-                rows, _ = await self.context.state_store.list_prefix(records.ZONES)
+                rows, _ = await self.context.state_store.list_prefix(
+                    records.ZONES, RequestClass.LEADER
+                )
             except RETRYABLE_ERRORS as error:
                 self.context.log_throttled("zones", error)
                 await self.context.sleep_with_jitter(OBSERVE_INTERVAL_S)
@@ -93,7 +96,9 @@
             try:
                 await self._write_states([unwritten[zone] for zone in zones], zones)
             except ConflictError:
-                rows, _ = await self.context.state_store.list_prefix(records.ZONES)
+                rows, _ = await self.context.state_store.list_prefix(
+                    records.ZONES, RequestClass.LEADER
+                )
                 self._adopt_revisions(rows)
                 raise
             self.recovery.records.mark_written({zone: covered[zone] for zone in zones})
@@ -105,7 +110,7 @@
         revision = await self.context.transaction(
             {row.key: revisions.get(row.key, 0) for row in rows},
             [put(row.key, row.value) for row in rows],
-            bulk=True,
+            request_class=RequestClass.BULK_WRITE,
         )
         revisions.update((row.key, revision) for row in rows)
 
--- a/src/salthead/metrics.py
+++ b/src/salthead/metrics.py
@@ -28,6 +28,35 @@
     ["result"],
     registry=REGISTRY,
 )
+STATE_REQUESTS = Counter(
+    "salthead_state_requests_total",
+    "Requests to the state service, by class and result",
+    ["class", "result"],
+    registry=REGISTRY,
+)
+STATE_REQUESTS_WAITING = Gauge(
+    "salthead_state_requests_waiting",
+    "Requests to the state service that wait for their turn, by class",
+    ["class"],
+    registry=REGISTRY,
+)
+STATE_OLDEST_WAIT_SECONDS = Gauge(
+    "salthead_state_oldest_wait_seconds",
+    "Longest wait of a request that waits for its turn, by class, when their number last changed",
+    ["class"],
+    registry=REGISTRY,
+)
+LOADING_SECONDS = Gauge(
+    "salthead_loading_seconds",
+    "Time for which this term has been loading records; 0 once they are loaded",
+    registry=REGISTRY,
+)
+UNLOADED_HEARTBEATS = Counter(
+    "salthead_unloaded_heartbeats_total",
+    "Heartbeats handled before the records were loaded, by the answer",
+    ["answer"],
+    registry=REGISTRY,
+)
 OUTCOME_WRITES = Counter(
     "salthead_outcome_writes_total",
     "Transactions that write outcomes of jobs, by result",
--- a/src/salthead/state_store/client.py
+++ b/src/salthead/state_store/client.py
@@ -13,16 +13,21 @@
     LeaseExpiredError,
     RequestRefusedError,
 )
-from salthead.state_store.messages import Change, Condition, ListedRow, Transaction, VersionedValue
+from salthead.state_store.listing import Listing
+from salthead.state_store.messages import (
+    Change,
+    Condition,
+    Transaction,
+    VersionedValue,
+    required_int,
+)
+from salthead.state_store.request_stats import RequestClass, RequestResult, RequestStats
 from salthead.transport.client import Answer, HttpClient, UnansweredError
 from salthead.transport.limits import TokenBucket
 
-
-def _required_int(body: dict[str, Any], name: str) -> int:
-    value = body.get(name)
-    if type(value) is not int:
-        raise UnansweredError(f"state service: {name} missing")
-    return value
+LIST_TIMEOUT_S = 3.0
+REVOKE_TIMEOUT_S = 1.0
+WATCH_GRACE_S = 2.0  # for the answer, after the time that the service was asked to wait
 
 
 class StateStore:
@@ -53,104 +58,161 @@
         # submissions and outcomes never wait behind them.
         self.bulk_writes = TokenBucket(write_rps * 0.25, write_rps * 0.5, now)
         self.now = now
+        self.stats = RequestStats(now)
         self.last_response_at = -1e9  # when the service last executed a request of this controller
 
-    def _check_status(self, answer: Answer, operation: str, *expected: int) -> Answer:
-        if answer.status in expected:
-            self.last_response_at = self.now()
-            return answer
-        raise RequestRefusedError(answer.status, operation)
+    async def _send(
+        self,
+        request_class: RequestClass,
+        operation: str,
+        expected: tuple[int, ...],
+        method: str,
+        path: str,
+        body: Any = None,
+        *,
+        timeout: float,
+        query: dict[str, Any] | None = None,
+    ) -> Answer:
+        """Send a request and return its answer, which has one of the expected statuses.
+
+        Raises RequestRefusedError for another status, named by the operation, and UnansweredError.
+        """
+        client = self._client_of(request_class)
+        try:
+            answer = await client.call(method, path, body, timeout=timeout, query=query)
+        except UnansweredError:
+            self.stats.record(request_class, RequestResult.UNANSWERED)
+            raise
+        if answer.status not in expected:
+            self.stats.record(request_class, RequestResult.REFUSED)
+            raise RequestRefusedError(answer.status, operation)
+        self.stats.record(request_class, RequestResult.ANSWERED)
+        self.last_response_at = self.now()
+        return answer
+
+    def _client_of(self, request_class: RequestClass) -> HttpClient:
+        if request_class is RequestClass.LEASE:
+            return self.urgent
+        return self.watches if request_class is RequestClass.WATCH else self.bulk
+
+    async def _wait_for_read(self, request_class: RequestClass) -> None:
+        if request_class is not RequestClass.LEASE:
+            await self._wait(self.reads, request_class, 1)
+
+    async def _wait_for_write(self, request_class: RequestClass, change_count: int) -> None:
+        if request_class is RequestClass.LEASE:
+            return
+        bulk = request_class is RequestClass.BULK_WRITE
+        bucket = self.bulk_writes if bulk else self.writes
+        await self._wait(bucket, request_class, change_count)
+
+    async def _wait(self, bucket: TokenBucket, request_class: RequestClass, amount: int) -> None:
+        if not bucket.try_acquire(amount):
+            with self.stats.while_waiting(request_class):
+                await bucket.wait(amount)
 
     async def get(
-        self, key: str, timeout: float = 1.5, urgent: bool = False
+        self, key: str, request_class: RequestClass, timeout: float = 1.5
     ) -> VersionedValue | None:
         """Return a key's value and revision, or None if the key does not exist."""
-        if not urgent:
-            await self.reads.wait()
-        client = self.urgent if urgent else self.bulk
-        answer = await client.call("GET", f"{wire_names.KEYS_PATH}/{key}", timeout=timeout)
-        self._check_status(answer, key, 200, 404)
+        await self._wait_for_read(request_class)
+        path = f"{wire_names.KEYS_PATH}/{key}"
+        answer = await self._send(request_class, key, (200, 404), "GET", path, timeout=timeout)
         if answer.status == 404:
             return None
-        return VersionedValue(answer.body.get("value"), _required_int(answer.body, "stamp"))
+        return VersionedValue(answer.body.get("value"), required_int(answer.body, "stamp"))
 
-    async def list_prefix(self, prefix: str) -> tuple[dict[str, VersionedValue], int]:
+    async def list_prefix(
+        self, prefix: str, request_class: RequestClass
+    ) -> tuple[dict[str, VersionedValue], int]:
         """Return all keys with a prefix, and the epoch from which to watch for later changes.
 
         The list is read in pages. The epoch is that of the first page, so that a watch from
         there may repeat changes but misses none.
         """
-        rows: dict[str, VersionedValue] = {}
-        start = ""
-        first_epoch: int | None = None
-        while True:
-            await self.reads.wait()
-            query: dict[str, Any] = {"prefix": prefix, "most": 500}
-            if start:
-                query["from"] = start
-            answer = self._check_status(
-                await self.bulk.call("GET", wire_names.KEYS_PATH, query=query, timeout=3.0),
-                prefix,
-                200,
-            )
-            if first_epoch is None:
-                first_epoch = _required_int(answer.body, "epoch")
-            for row in shape(answer.body.get("rows") or [], list[ListedRow]):
-                rows[row.key] = VersionedValue(row.value, row.revision)
-                start = row.key
-            if not answer.body.get("truncated"):
-                return rows, first_epoch
+        listing = Listing(prefix)
+        while not listing.complete:
+            await self.read_page(listing, request_class)
+        return listing.rows, listing.epoch
+
+    async def read_page(self, listing: Listing, request_class: RequestClass) -> None:
+        """Read the next page of a list."""
+        began_at = self.now()
+        await self._wait_for_read(request_class)
+        listing.waited_s += self.now() - began_at
+        answer = await self._send(
+            request_class,
+            listing.prefix,
+            (200,),
+            "GET",
+            wire_names.KEYS_PATH,
+            timeout=LIST_TIMEOUT_S,
+            query=listing.next_query(),
+        )
+        listing.add_page(answer.body)
 
     async def transaction(
         self,
         conditions: dict[str, int],
         changes: Sequence[Change],
         timeout: float = 2.0,
-        urgent: bool = False,
-        bulk: bool = False,
+        request_class: RequestClass = RequestClass.WRITE,
     ) -> int:
         """Apply changes if the keys have the given revisions, and return the new epoch.
 
         Raises ConflictError if a condition fails, and LeaseExpiredError if the lease of a change
         has ended.
         """
-        if not urgent:
-            await (self.bulk_writes if bulk else self.writes).wait(len(changes))
-        client = self.urgent if urgent else self.bulk
+        await self._wait_for_write(request_class, len(changes))
         body = Transaction(
             [Condition(key, revision) for key, revision in conditions.items()], list(changes)
         )
-        answer = await client.call("POST", wire_names.TRANSACTIONS_PATH, body, timeout=timeout)
-        if answer.status == 400 and "lease" in str(answer.body.get("error", "")):
-            raise LeaseExpiredError("txn")
-        self._check_status(answer, "txn", 200, 409)
+        answer = await self._send(
+            request_class,
+            "txn",
+            (200, 400, 409),
+            "POST",
+            wire_names.TRANSACTIONS_PATH,
+            body,
+            timeout=timeout,
+        )
+        if answer.status == 400:
+            if "lease" in str(answer.body.get("error", "")):
+                raise LeaseExpiredError("txn")
+            raise RequestRefusedError(answer.status, "txn")
         if answer.status == 409:
             raise ConflictError([str(key) for key in answer.body.get("failed") or []])
-        return _required_int(answer.body, "epoch")
+        return required_int(answer.body, "epoch")
 
     async def grant_lease(self, ttl_s: float, timeout: float = 1.5) -> int:
         """Create a lease and return its id."""
-        answer = await self.urgent.call(
-            "POST", wire_names.LEASES_PATH, {"ttl_ms": round(ttl_s * 1000)}, timeout=timeout
+        body = {"ttl_ms": round(ttl_s * 1000)}
+        answer = await self._send(
+            RequestClass.LEASE,
+            "grant",
+            (200,),
+            "POST",
+            wire_names.LEASES_PATH,
+            body,
+            timeout=timeout,
         )
-        self._check_status(answer, "grant", 200)
-        return _required_int(answer.body, "tether")
+        return required_int(answer.body, "tether")
 
     async def renew_lease(self, lease_id: int, timeout: float) -> None:
         """Renew a lease; raises LeaseExpiredError if it has ended."""
-        answer = await self.urgent.call(
-            "POST", f"{wire_names.LEASES_PATH}/{lease_id}/extend", timeout=timeout
+        path = f"{wire_names.LEASES_PATH}/{lease_id}/extend"
+        answer = await self._send(
+            RequestClass.LEASE, "extend", (200, 404), "POST", path, timeout=timeout
         )
-        self._check_status(answer, "extend", 200, 404)
         if answer.status == 404:
             raise LeaseExpiredError("extend")
 
     async def revoke_lease(self, lease_id: int) -> None:
         """Revoke a lease."""
-        answer = await self.urgent.call(
-            "DELETE", f"{wire_names.LEASES_PATH}/{lease_id}", timeout=1.0
+        path = f"{wire_names.LEASES_PATH}/{lease_id}"
+        await self._send(
+            RequestClass.LEASE, "end", (200, 404), "DELETE", path, timeout=REVOKE_TIMEOUT_S
         )
-        self._check_status(answer, "end", 200, 404)
 
     async def watch(self, prefix: str, since: int, wait_s: float) -> tuple[list[Any], int]:
         """Return the changes of keys with a prefix since an epoch, and the epoch that they reach.
@@ -158,13 +220,15 @@
         The entries are not decoded yet; ``decode_logged_change`` decodes one. Raises CompactedError
         if the change log no longer holds that epoch.
         """
-        answer = await self.watches.call(
+        answer = await self._send(
+            RequestClass.WATCH,
+            prefix,
+            (200, 410),
             "GET",
             wire_names.CHANGES_PATH,
-            timeout=wait_s + 2.0,
+            timeout=wait_s + WATCH_GRACE_S,
             query={"prefix": prefix, "from": since, "wait_ms": round(wait_s * 1000)},
         )
         if answer.status == 410:
             raise CompactedError(prefix)
-        self._check_status(answer, prefix, 200)
-        return shape(answer.body.get("log") or [], list[Any]), _required_int(answer.body, "epoch")
+        return shape(answer.body.get("log") or [], list[Any]), required_int(answer.body, "epoch")
--- a/src/salthead/state_store/messages.py
+++ b/src/salthead/state_store/messages.py
@@ -7,6 +7,15 @@
 import msgspec
 
 from salthead.protocol.messages import shape
+from salthead.transport.client import UnansweredError
+
+
+def required_int(body: dict[str, Any], name: str) -> int:
+    """Return an integer field of an answer; raises UnansweredError if it is missing."""
+    value = body.get(name)
+    if type(value) is not int:
+        raise UnansweredError(f"state service: {name} missing")
+    return value
 
 
 class VersionedValue(NamedTuple):
--- a/tests/test_http.py
+++ b/tests/test_http.py
@@ -48,7 +48,7 @@
         self.down = False
         self.last_response_at = float("inf")
 
-    async def get(self, key: str, **_: Any) -> Any:
+    async def get(self, key: str, *_: Any, **__: Any) -> Any:
         if self.down:
             raise RequestRefusedError(503, key)
         return VersionedValue(self.rows[key], 1) if key in self.rows else None
--- a/tests/test_malformed_records.py
+++ b/tests/test_malformed_records.py
@@ -11,6 +11,7 @@
 from salthead import metrics
 from salthead.state_store.client import StateStore
 from salthead.state_store.errors import RETRYABLE_ERRORS
+from salthead.state_store.request_stats import RequestClass
 from salthead.transport.client import Answer
 from standins import World, run
 
@@ -42,7 +43,7 @@
     async def read() -> None:
         store = StateStore("state:1", 100.0, 100.0, lambda: 1.0, service.dial)
         with pytest.raises(RETRYABLE_ERRORS):
-            await store.list_prefix("job/")
+            await store.list_prefix("job/", RequestClass.USER)
 
     asyncio.run(read())
 
--- a/tests/wire_examples.py
+++ b/tests/wire_examples.py
@@ -42,6 +42,7 @@
 from salthead.state_store import records  # noqa: E402
 from salthead.state_store.done_tasks import DoneTaskLayout  # noqa: E402
 from salthead.state_store.held_lease import HeldLease  # noqa: E402
+from salthead.state_store.request_stats import RequestClass  # noqa: E402
 from salthead.transport.client import Answer  # noqa: E402
 from salthead.transport.http import Reply, Request  # noqa: E402
 from salthead.zones import records as zone_records  # noqa: E402
@@ -201,7 +202,7 @@
     assert await ask_connectivity(controller.peers["n1"], leads=True) is not None
     await controller.leader_calls.query_or_cancel_job("/peer/poll", "req-1", 1.0)
     await controller.state_store.renew_lease(LEASE, 1.0)
-    await controller.state_store.list_prefix("job/")
+    await controller.state_store.list_prefix("job/", RequestClass.USER)
     await controller.state_store.watch("job/", 3, 0.01)
     return recorder.calls
 
