Reproduce cancelled tasks that run on while no leader loads the records

Cause: leaders that follow one another without loading the records each acknowledge heartbeats for the whole unloaded_grace_s; see the incident.

Change: tests that let two to four such leaders follow one another, ended by crash, resignation or lease, after a cancellation that the leader, a follower or a term without records confirms; generated sequences; the timings of the users' deployments.

--- /dev/null
+++ b/tests/test_unloaded_terms.py
@@ -0,0 +1,209 @@
+"""Leaders that follow one another without loading the records, and a cancellation before them.
+
+``docs/incidents/unloaded-leaders-in-a-row.md`` describes the incident.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import random
+from dataclasses import dataclass
+from enum import Enum, auto
+
+import pytest
+
+from helpers import LIMITS, spec
+from salthead.controller.controller import Controller
+from scenarios import follower_names, loaded_leader, spawn, wait_until_running
+from standins import World, run
+from standins.network import Call
+
+TASKS = 6
+RESTART_S = 8.0
+ELECTION_CHECK_S = 0.01
+MAX_ELECTION_S = 60.0
+ASK_INTERVAL_S = 0.5
+WRITE_CHECK_S = 0.0005  # shorter than the way back of an answer
+# Heartbeat interval, worker lease and time limit of cancellations of the users' deployments.
+TIMINGS = [(1.0, 11.0, 36.0), (2.5, 15.25, 40.25), (3.0, 21.0, 46.0)]
+
+
+class End(Enum):
+    """How a term ends."""
+
+    CRASH = auto()
+    RESIGNATION = auto()
+    LEASE = auto()  # the state service refuses the leader alone until its lease has ended
+
+
+class Confirmation(Enum):
+    """Who first tells the user that the job is cancelled."""
+
+    LEADER = auto()
+    FOLLOWER = auto()
+    UNLOADED_TERM = auto()  # the leader ends before it has told anyone
+
+
+class Unreachable(Enum):
+    """How machines miss the stop of their tasks."""
+
+    CUT = auto()
+    DEAF = auto()
+    HUNG = auto()
+
+
+@dataclass(frozen=True)
+class Terms:
+    """A sequence of terms that don't load the records, after the one that cancels a job."""
+
+    ends: tuple[End, ...]
+    term_s: float  # for which each of them lasts
+    confirmation: Confirmation = Confirmation.LEADER
+    unreachable: Unreachable = Unreachable.CUT
+    unreachable_s: float = 1.0  # after the leader that cancelled the job has ended
+    readable: tuple[str, ...] = ()  # prefixes of records that can be listed
+
+    @classmethod
+    def generate(cls, seed: int) -> Terms:
+        """Return a random sequence."""
+        rng = random.Random(seed)
+        return cls(
+            ends=tuple(rng.choices(list(End), k=rng.randint(1, 4))),
+            term_s=rng.uniform(4.0, 16.0),
+            confirmation=rng.choice(list(Confirmation)),
+            unreachable=rng.choice(list(Unreachable)),
+            unreachable_s=rng.uniform(0.0, 10.0),
+            readable=rng.choice([(), ("job/", "done/", "roster/", "awaits/")]),
+        )
+
+
+def set_unreachable(world: World, how: Unreachable, value: bool) -> None:
+    """Make all machines unreachable, or reachable again."""
+    for worker in world.cloud.hosts.values():
+        setattr(worker, how.name.lower(), value)
+
+
+def refuse_lists(world: World, readable: tuple[str, ...]) -> None:
+    """Leave all lists of records unanswered, except those of some prefixes."""
+
+    def unanswered(call: Call) -> float | None:
+        is_list = call.target == "state" and call.path == "/keys"
+        return 0.0 if is_list and call.query["prefix"] not in readable else None
+
+    world.late_unanswered_s = unanswered
+
+
+async def next_leader(world: World) -> Controller:
+    """Wait until a controller leads."""
+    for _ in range(int(MAX_ELECTION_S / ELECTION_CHECK_S)):
+        if (leader := world.leader()) is not None:
+            return leader
+        await asyncio.sleep(ELECTION_CHECK_S)
+    raise AssertionError("no leader")
+
+
+async def boot_later(world: World, name: str) -> None:
+    await asyncio.sleep(RESTART_S)
+    world.boot(name)
+
+
+async def end_term(world: World, leader: Controller, how: End) -> None:
+    """End the leader's term."""
+    name = leader.settings.member
+    if how is End.CRASH:
+        await world.crash(name)
+        spawn(world, boot_later(world, name))
+    elif how is End.RESIGNATION:
+        assert leader.term is not None
+        leader.election.leader_stickiness.withhold_vote(world.now())
+        leader.term.clock.invalidate()
+    else:
+        world.refused.add(name)
+    while leader.leading() is not None:
+        await asyncio.sleep(ELECTION_CHECK_S)
+    world.refused.discard(name)
+
+
+async def confirm(world: World, leader: Controller, how: Confirmation) -> None:
+    """Cancel the job, and tell the user of it or not, then crash the leader."""
+    name = leader.settings.member
+    if how is Confirmation.UNLOADED_TERM:
+        spawn(world, world.ask(name, "req-1", "cancel"))
+        while "over/req-1" not in world.state.keys:
+            await asyncio.sleep(WRITE_CHECK_S)
+    else:
+        asked = name if how is Confirmation.LEADER else follower_names(world, leader)[0]
+        assert await world.ask(asked, "req-1", "cancel") == "aborted"
+    await world.crash(name)
+    spawn(world, boot_later(world, name))
+
+
+async def ask_periodically(world: World) -> None:
+    """Let users repeat the cancellation at all controllers."""
+    while True:
+        await asyncio.sleep(ASK_INTERVAL_S)
+        for name in world.names:
+            await world.ask(name, "req-1", "cancel")
+
+
+async def play(terms: Terms) -> World:
+    """Cancel a job, and let leaders follow one another that can't load the records."""
+    world = World(seed=3)
+    await world.submit(spec("req-1", task_count=TASKS, estimated_run_s=300.0))
+    await wait_until_running(world, "req-1", TASKS)
+    leader = await loaded_leader(world)
+    leader.term.worker_calls.send_stops = lambda: None  # type: ignore[union-attr,method-assign]
+    set_unreachable(world, terms.unreachable, True)
+    await confirm(world, leader, terms.confirmation)
+    users = asyncio.create_task(ask_periodically(world))
+    refuse_lists(world, terms.readable)
+    await asyncio.sleep(terms.unreachable_s)
+    set_unreachable(world, terms.unreachable, False)
+    for end in terms.ends:
+        leader = await next_leader(world)
+        await asyncio.sleep(terms.term_s)
+        if leader.leading() is not None:
+            await end_term(world, leader, end)
+    world_limit_s = LIMITS["workers"]["cancel_s"]
+    await asyncio.sleep(world_limit_s)
+    world.late_unanswered_s = lambda call: None
+    users.cancel()
+    await world.poll_until_terminal()
+    return world
+
+
+def set_timings(monkeypatch: pytest.MonkeyPatch, timings: tuple[float, float, float]) -> None:
+    """Use a deployment's timings in the settings and the stand-ins."""
+    for name, seconds in zip(("report_s", "lease_s", "cancel_s"), timings, strict=True):
+        monkeypatch.setitem(LIMITS["workers"], name, seconds)
+
+
+CRASHES = (End.CRASH,) * 4
+RESIGNATIONS = (End.RESIGNATION,) * 4
+LEASES = (End.LEASE,) * 4
+
+
+@pytest.mark.parametrize("timings", TIMINGS, ids=lambda timings: f"lease{timings[1]:g}")
+@pytest.mark.parametrize("confirmation", Confirmation)
+@pytest.mark.parametrize(
+    "ends",
+    [CRASHES[:2], RESIGNATIONS[:3], LEASES[:3], CRASHES, RESIGNATIONS, (End.RESIGNATION, *CRASHES)],
+    ids=lambda ends: "-".join(end.name.lower() for end in ends),
+)
+def test_unloaded_leaders_in_a_row_keep_no_cancelled_task_alive(
+    monkeypatch: pytest.MonkeyPatch,
+    ends: tuple[End, ...],
+    confirmation: Confirmation,
+    timings: tuple[float, float, float],
+) -> None:
+    set_timings(monkeypatch, timings)
+    terms = Terms(ends, term_s=8.0, confirmation=confirmation)
+    assert run(lambda: play(terms)).broken == []
+
+
+@pytest.mark.parametrize("seed", range(30))
+def test_a_generated_sequence_of_terms_keeps_no_cancelled_task_alive(
+    monkeypatch: pytest.MonkeyPatch, seed: int
+) -> None:
+    set_timings(monkeypatch, TIMINGS[seed % len(TIMINGS)])
+    assert run(lambda: play(Terms.generate(seed))).broken == []
