Bound renewals without the records over all terms in a row

Cause: a leader that has not loaded the records may acknowledge heartbeats for a time that assumes that the term before it knew the cancellations. Three terms in a row did not load, and each had the whole time anew. The class: a right that rests on somebody else's knowledge, counted from one's own start. The same time ignored renewals under a delegation, and a term that loads while machines with older leases are out of reach.

Change: the record of the fencing token says whether its term is informed (loaded, and no lease from before is left) and has delegated leases. Only after an informed term is there time for renewals without the records, less the delegation's; otherwise none.

Why this works: the time is granted only where a worker that still runs a cancelled task was last renewed before the confirmation.

--- a/src/salthead/cluster/ledger.py
+++ b/src/salthead/cluster/ledger.py
@@ -34,7 +34,7 @@
 from salthead.cluster.zone_hooks import ZoneHooks
 from salthead.failure_detection.blocked_actions import BlockedActions
 from salthead.failure_detection.preconditions import Precondition
-from salthead.leases.leader_lease import unloaded_grace_s
+from salthead.leases.unloaded_renewals import UNKNOWN_TERM, PrecedingTerm, unloaded_renewal_s
 from salthead.protocol import wire_names
 from salthead.protocol.interning import Interner
 from salthead.protocol.messages import MachineType, Submission
@@ -58,11 +58,15 @@
         fencing_token: int,
         now: float,
         wall: float | None = None,
+        preceding: PrecedingTerm = UNKNOWN_TERM,
     ) -> None:
         self.limits = limits
         self.fencing_token = fencing_token
         self.term_started_at = now
-        self.unloaded_grace_s = unloaded_grace_s(limits.workers.lease_s, limits.workers.cancel_s)
+        # Until when leases may be renewed without the records of earlier terms.
+        self.unloaded_renewals_end_at = now + unloaded_renewal_s(
+            limits.workers.lease_s, limits.workers.cancel_s, preceding
+        )
         # Wall clock minus monotonic clock: records hold submission times as wall-clock times, and
         # all other times in the ledger are monotonic.
         self.wall_clock_offset_s = 0.0 if wall is None else wall - now
--- a/src/salthead/controller/controller.py
+++ b/src/salthead/controller/controller.py
@@ -139,10 +139,12 @@
             revision=elected.revision,
             lease_id=lease.lease_id,
             asked_at=lease.requested_at,
+            preceding_informed=elected.preceding.informed,
+            preceding_delegated=elected.preceding.delegated,
         )
         clock = leader_lease.LeaseClock(lease.ttl)
         clock.record_renewal(lease.requested_at)
-        term = Term(self, elected.fencing_token, elected.revision, lease, clock)
+        term = Term(self, elected.fencing_token, elected.revision, lease, clock, elected.preceding)
         self.leader_view.term = term
         metrics.LEADING.set(1)
         metrics.FENCING_TOKEN.set(elected.fencing_token)
--- a/src/salthead/controller/election.py
+++ b/src/salthead/controller/election.py
@@ -12,16 +12,12 @@
 import msgspec
 
 from salthead.controller.context import ControllerContext
-from salthead.controller.leader_record import (
-    FencingTokenRecord,
-    LeaderRecord,
-    decode_leader,
-    next_fencing_token,
-)
+from salthead.controller.leader_record import LeaderRecord, decode_leader
 from salthead.controller.leader_view import LeaderView
 from salthead.failure_detection.preconditions import Action, Precondition, permits
 from salthead.leases import leader_lease
 from salthead.leases.leader_lease import LeaderStickiness
+from salthead.leases.unloaded_renewals import NO_TERM, PrecedingTerm
 from salthead.state_store import records
 from salthead.state_store.errors import (
     RETRYABLE_ERRORS,
@@ -29,6 +25,7 @@
     LeaseExpiredError,
     RequestRefusedError,
 )
+from salthead.state_store.fencing_token import FencingTokenRecord, decode_fencing_token
 from salthead.state_store.held_lease import HeldLease, RevocationReason
 from salthead.state_store.messages import VersionedValue, put
 from salthead.state_store.request_stats import RequestClass
@@ -48,6 +45,7 @@
     fencing_token: int
     revision: int  # of the leader's key
     lease: HeldLease
+    preceding: PrecedingTerm
 
 
 @dataclass(frozen=True, slots=True)
@@ -57,6 +55,7 @@
     nonce: str
     fencing_token: int
     lease: HeldLease  # the leader's key is attached to it
+    preceding: PrecedingTerm
 
 
 class Election:
@@ -143,7 +142,9 @@
         """Lead until the term has ended, which revokes the lease."""
         self.leader_stickiness.campaign_indeterminate = False
         self.leader_view.member = self.member
-        await self.lead(ElectedTerm(record.fencing_token, row.revision, campaign.lease))
+        await self.lead(
+            ElectedTerm(record.fencing_token, row.revision, campaign.lease, campaign.preceding)
+        )
         self.leader_view.member = None
         await self.context.sleep_with_jitter(RETRY_S)
 
@@ -208,10 +209,12 @@
         self, row: VersionedValue | None, token_row: VersionedValue | None, lease: HeldLease
     ) -> None:
         """Write the leader's key and the next fencing token in one transaction."""
-        fencing_token = next_fencing_token(token_row.value if token_row else None)
+        last = decode_fencing_token(token_row.value) if token_row else None
+        fencing_token = last.fencing_token + 1 if last else 1
+        preceding = PrecedingTerm(last.informed, last.delegated) if last else NO_TERM
         nonce = uuid.uuid4().hex[:12]
         leader = LeaderRecord(self.member, self.run_id, fencing_token, nonce)
-        self.campaign = Campaign(nonce, fencing_token, lease)
+        self.campaign = Campaign(nonce, fencing_token, lease, preceding)
         self.leader_stickiness.campaign_indeterminate = True
         try:
             await self.context.state_store.transaction(
--- a/src/salthead/heartbeats/handling.py
+++ b/src/salthead/heartbeats/handling.py
@@ -87,7 +87,7 @@
     held = _acknowledgement_preconditions(ledger, machine, heartbeat, current or direct, now)
     missing = missing_preconditions(Action.ACKNOWLEDGE_HEARTBEAT, held)
     if not ledger.loaded:
-        until = ledger.term_started_at + ledger.unloaded_grace_s
+        until = ledger.unloaded_renewals_end_at
         ledger.unloaded_heartbeats.record(heartbeat.worker, not missing, until, now)
     if missing:
         ledger.blocked_actions.record(Action.ACKNOWLEDGE_HEARTBEAT, missing, now)
@@ -104,7 +104,7 @@
         machine.links.acknowledged(heartbeat.incarnation, heartbeat.sequence, now)
     newer = (heartbeat.incarnation, heartbeat.sequence) > (machine.incarnation, machine.sequence)
     if not newer or not ledger.loaded:
-        return []  # if not loaded, this renews the lease, and a later heartbeat shows the tasks
+        return []
     if not current:
         # A late copy may list outdated tasks: exits that were reaped since, or tasks that run
         # elsewhere now. The machine may be registered meanwhile.
@@ -189,10 +189,7 @@
     ``receives``: the worker has shown this term's token, or responds to a call by this controller.
     """
     held = ledger.confirmed_preconditions()
-    if now - ledger.term_started_at <= ledger.unloaded_grace_s:
-        # Within the grace period no confirmed cancellation can be overdue, even if it is not known
-        # here yet. An outage of the state service may last longer than that, and answers would then
-        # keep the tasks of cancelled jobs alive for too long.
+    if now < ledger.unloaded_renewals_end_at:
         held |= JOBS_KNOWN
     if heartbeat.worker not in ledger.recently_gone:
         held |= MACHINE_NOT_TERMINATED
--- a/src/salthead/leader/term.py
+++ b/src/salthead/leader/term.py
@@ -31,10 +31,12 @@
 from salthead.leader.record_reader import RecordReader
 from salthead.leader.save_loop import SaveLoop
 from salthead.leader.scheduling_loop import SchedulingLoop
+from salthead.leader.term_record import TermRecord
 from salthead.leader.views import Views
 from salthead.leader.worker_calls import WorkerCalls
 from salthead.leader.zone_lease_delegations import ZoneLeaseDelegations
 from salthead.leases.leader_lease import LeaseClock
+from salthead.leases.unloaded_renewals import PrecedingTerm
 from salthead.policy import PartialCutPolicy
 from salthead.protocol.messages import Command, Heartbeat, JobStatus
 from salthead.state_store.errors import RETRYABLE_ERRORS, RequestRefusedError
@@ -121,13 +123,16 @@
         revision: int,
         lease: HeldLease,
         clock: LeaseClock,
+        preceding: PrecedingTerm,
     ) -> None:
         """Create a term.
 
         ``revision`` is that of the leader key, which is attached to ``lease``.
         """
         self.fencing_token = fencing_token
-        self.ledger = Ledger(controller.limits, fencing_token, controller.now(), time.time())
+        self.ledger = Ledger(
+            controller.limits, fencing_token, controller.now(), time.time(), preceding
+        )
         self.context = _build_context(controller, self.ledger, revision, lease, clock)
         self.clock = clock
         self.background = BackgroundTasks()
@@ -153,6 +158,7 @@
         """Build the components that read and write the records in the state service."""
         context, job_reader = self.context, controller.job_reader
         self.record_reader = RecordReader(context)
+        self.term_record = TermRecord(context)
         self.done_tasks = DoneTaskPages(context)
         self.machine_registry = MachineRegistryRecords(context, self.request_scheduling_pass)
         self.save_loop = SaveLoop(context, self.done_tasks)
@@ -172,6 +178,7 @@
             context,
             _enabled_partial_cut_policy(controller) is not None,
             lambda: self.job_records.known_epoch,
+            self.term_record,
         )
 
     def _build_views(self, controller: ControllerInterface) -> None:
@@ -249,6 +256,7 @@
     async def work_loop(self) -> None:
         """Load the records of earlier terms, then run the loops that act on the cluster."""
         await self._load_until_done()
+        self.background.spawn(self.term_record.write_when_informed())
         self.background.spawn(
             self.worker_calls.reconcile_all(self.ledger.failover.unreconciled_machines())
         )
--- a/src/salthead/leader/zone_lease_delegations.py
+++ b/src/salthead/leader/zone_lease_delegations.py
@@ -12,6 +12,7 @@
 
 from salthead.leader.context import TermContext
 from salthead.leader.record_reader import RecordReader
+from salthead.leader.term_record import TermRecord
 from salthead.leases.zone_leases import delegation_end_for_leader
 from salthead.state_store import records
 from salthead.state_store.errors import RETRYABLE_ERRORS, CompactedError, ConflictError
@@ -30,15 +31,18 @@
         context: TermContext,
         partial_cuts_enabled: bool,
         known_epoch: Callable[[], int],
+        term_record: TermRecord,
     ) -> None:
         """Create the delegations of a term.
 
         ``partial_cuts_enabled`` is whether the policy for partial partitions is enabled.
         ``known_epoch`` returns the epoch of the state service up to which changes are known.
+        ``term_record`` tells the next leader of the delegations.
         """
         self.context = context
         self.partial_cuts_enabled = partial_cuts_enabled
         self.known_epoch = known_epoch
+        self.term_record = term_record
         self.earlier_grants: dict[str, int] = {}  # keys and revisions of earlier terms' grants
 
     async def load(self, reader: RecordReader) -> None:
@@ -97,6 +101,8 @@
         # too early, whatever the result of the write.
         until = delegation_end_for_leader(context.now(), context.lease_clock.ttl)
         if context.ledger.leases.delegate_zone(str(request.get("area")), until):
+            # Durable before the first renewal under the delegation.
+            await self.term_record.write(delegated=True)
             delegation = {"token": context.fencing_token, "nonce": request.get("nonce")}
             await context.transaction(
                 {},
--- a/src/salthead/leases/leader_lease.py
+++ b/src/salthead/leases/leader_lease.py
@@ -38,16 +38,6 @@
     return answered + lease_s * (1.0 + MAX_CLOCK_DRIFT) + WORKER_TIMER_SLACK_S
 
 
-def unloaded_grace_s(lease_s: float, cancel_s: float) -> float:
-    """Return for how long a new leader may answer heartbeats before it has loaded the jobs.
-
-    A cancellation may have been confirmed just before the previous term ended, with the job's tasks
-    still running. The previous leader last answered a live worker at most one lease before this
-    term began, and each answer of this term lets the tasks run for one more lease.
-    """
-    return cancel_s - certainly_expired_at(0.0, lease_s) * 2.0
-
-
 def vote_withheld_duration_s(ttl: float) -> float:
     """Return for how long a peer withholds its vote on one request, in seconds.
 
--- a/tests/builders/ledgers.py
+++ b/tests/builders/ledgers.py
@@ -11,6 +11,7 @@
 from salthead.cluster.ledger import Ledger
 from salthead.cluster.model import Job, Machine
 from salthead.heartbeats.handling import handle_heartbeat
+from salthead.leases.unloaded_renewals import NO_TERM
 from salthead.protocol.messages import Command, Heartbeat, TaskStatus
 
 FENCING_TOKEN = 7
@@ -18,7 +19,7 @@
 
 def new_ledger(now: float = 0.0, fencing_token: int = FENCING_TOKEN, **changes: Any) -> Ledger:
     """Return the ledger of a leader that has read all records and knows no machine yet."""
-    ledger = Ledger(platform_limits(**changes), fencing_token, now)
+    ledger = Ledger(platform_limits(**changes), fencing_token, now, preceding=NO_TERM)
     ledger.set_machine_types(MACHINE_TYPES)
     ledger.loaded = True
     return ledger
--- a/tests/test_meetings.py
+++ b/tests/test_meetings.py
@@ -15,7 +15,14 @@
 
 from helpers import LIMITS, limits, spec
 from salthead.cluster.ledger import Ledger
-from salthead.leases.leader_lease import certainly_expired_at, leader_ttl, unloaded_grace_s
+from salthead.leases.leader_lease import certainly_expired_at, leader_ttl
+from salthead.leases.unloaded_renewals import (
+    NO_TERM,
+    UNKNOWN_TERM,
+    PrecedingTerm,
+    unloaded_renewal_s,
+)
+from salthead.leases.zone_leases import delegation_end_for_leader
 from scenarios import follower_names, loaded_leader, spawn, wait_until_running
 from standins import World, run
 from standins.network import Call
@@ -187,13 +194,18 @@
     ttl = leader_ttl(lease_s)
     # A machine that receives nothing more: its lease runs from the last answered heartbeat.
     assert certainly_expired_at(0.0, lease_s) < cancel_s
-    # A leader that has loaded nothing: one lease before its term, the time for which it answers
-    # heartbeats, and one lease after that.
-    assert (
-        lease_s + unloaded_grace_s(lease_s, cancel_s) + certainly_expired_at(0.0, lease_s)
-        <= cancel_s
-    )
-    assert led.unloaded_grace_s == unloaded_grace_s(lease_s, cancel_s)
+    # A leader that has loaded nothing: a delegation after the confirmation, one lease before its
+    # term, the time for which it answers heartbeats, and one lease after that.
+    for delegated in (False, True):
+        preceding = PrecedingTerm(informed=True, delegated=delegated)
+        renewal_s = unloaded_renewal_s(lease_s, cancel_s, preceding)
+        before_s = delegation_end_for_leader(0.0, ttl) if delegated else 0.0
+        last_lease_s = certainly_expired_at(0.0, lease_s)
+        assert not renewal_s or before_s + lease_s + renewal_s + last_lease_s <= cancel_s
+    assert unloaded_renewal_s(lease_s, cancel_s, UNKNOWN_TERM) == 0.0
+    assert led.unloaded_renewals_end_at == 100.0, "nothing is known of the term before"
+    first = Ledger(limits(workers=workers), 1, 100.0, preceding=NO_TERM)
+    assert first.unloaded_renewals_end_at == 100.0 + unloaded_renewal_s(lease_s, cancel_s, NO_TERM)
     # A controller behind a network partition: its last delegation and one lease after that, unless
     # none is granted.
     led.zones.intern("north")
--- a/tests/test_unloaded_terms.py
+++ b/tests/test_unloaded_terms.py
@@ -9,6 +9,8 @@
 import random
 from dataclasses import dataclass
 from enum import Enum, auto
+from itertools import zip_longest
+from typing import Any
 
 import pytest
 
@@ -16,9 +18,21 @@
 from salthead.controller.controller import Controller
 from scenarios import follower_names, loaded_leader, spawn, wait_until_running
 from standins import World, run
-from standins.network import Call
+from standins.network import NEVER_S, Call
+from standins.worker import Worker
 
 TASKS = 6
+LOADED_PREFIXES = (
+    "job/",
+    "done/",
+    "roster/",
+    "awaits/",
+    "keep/",
+    "kept/",
+    "flavors",
+    "flavors/",
+    "zone/",
+)
 RESTART_S = 8.0
 ELECTION_CHECK_S = 0.01
 MAX_ELECTION_S = 60.0
@@ -52,28 +66,43 @@
     HUNG = auto()
 
 
+class Reach(Enum):
+    """What machines hear of a term that loads the records."""
+
+    NORMAL = auto()
+    NONE = auto()
+    FIRST_ANSWER = auto()
+
+
 @dataclass(frozen=True)
 class Terms:
-    """A sequence of terms that don't load the records, after the one that cancels a job."""
+    """A sequence of terms after the one that cancels a job."""
 
     ends: tuple[End, ...]
     term_s: float  # for which each of them lasts
+    loads: tuple[bool, ...] = ()  # whether each of them loads the records; those left out don't
     confirmation: Confirmation = Confirmation.LEADER
     unreachable: Unreachable = Unreachable.CUT
     unreachable_s: float = 1.0  # after the leader that cancelled the job has ended
-    readable: tuple[str, ...] = ()  # prefixes of records that can be listed
+    # Prefixes of records that can be listed in a term that doesn't load them.
+    readable: tuple[str, ...] = ()
+    # Whether machines are out of reach in terms that load the records, or hear one answer of each.
+    reach_when_loaded: Reach = Reach.NORMAL
 
     @classmethod
     def generate(cls, seed: int) -> Terms:
         """Return a random sequence."""
         rng = random.Random(seed)
+        count = rng.randint(1, 4)
         return cls(
-            ends=tuple(rng.choices(list(End), k=rng.randint(1, 4))),
+            ends=tuple(rng.choices(list(End), k=count)),
+            loads=tuple(rng.choices([False, True], weights=[2, 1], k=count)),
             term_s=rng.uniform(4.0, 16.0),
             confirmation=rng.choice(list(Confirmation)),
             unreachable=rng.choice(list(Unreachable)),
             unreachable_s=rng.uniform(0.0, 10.0),
             readable=rng.choice([(), ("job/", "done/", "roster/", "awaits/")]),
+            reach_when_loaded=rng.choice(list(Reach)),
         )
 
 
@@ -93,6 +122,25 @@
     world.late_unanswered_s = unanswered
 
 
+def deliver_first_answers_only(world: World) -> None:
+    """Lose direct commands, and all answers to a worker but the first one of each term."""
+    inner, answered = world.deliver_heartbeat, set()
+
+    async def deliver(worker: Worker, controller: int, message: bytes) -> tuple[int, Any]:
+        status, body = await inner(worker, controller, message)
+        if status == 200:
+            if (worker.name, body["baton"]) in answered:
+                await asyncio.sleep(NEVER_S)
+            answered.add((worker.name, body["baton"]))
+        return status, body
+
+    async def lose(name: str, body: Any) -> Any:
+        await asyncio.sleep(NEVER_S)
+
+    world.deliver_heartbeat = deliver  # type: ignore[method-assign]
+    world.deliver_command = lose  # type: ignore[method-assign]
+
+
 async def next_leader(world: World) -> Controller:
     """Wait until a controller leads."""
     for _ in range(int(MAX_ELECTION_S / ELECTION_CHECK_S)):
@@ -146,8 +194,20 @@
             await world.ask(name, "req-1", "cancel")
 
 
+async def play_term(world: World, terms: Terms, end: End, loads: bool) -> None:
+    """Let the next leader lead for its time, and end its term."""
+    out_of_reach = loads and terms.reach_when_loaded is Reach.NONE
+    set_unreachable(world, terms.unreachable, out_of_reach)
+    refuse_lists(world, LOADED_PREFIXES if loads else terms.readable)
+    leader = await next_leader(world)
+    await asyncio.sleep(terms.term_s)
+    if leader.leading() is not None:
+        await end_term(world, leader, end)
+    set_unreachable(world, terms.unreachable, False)
+
+
 async def play(terms: Terms) -> World:
-    """Cancel a job, and let leaders follow one another that can't load the records."""
+    """Cancel a job, and let leaders follow one another."""
     world = World(seed=3)
     await world.submit(spec("req-1", task_count=TASKS, estimated_run_s=300.0))
     await wait_until_running(world, "req-1", TASKS)
@@ -156,17 +216,18 @@
     set_unreachable(world, terms.unreachable, True)
     await confirm(world, leader, terms.confirmation)
     users = asyncio.create_task(ask_periodically(world))
+    restore = world.deliver_heartbeat, world.deliver_command
+    if terms.reach_when_loaded is Reach.FIRST_ANSWER:
+        deliver_first_answers_only(world)
     refuse_lists(world, terms.readable)
     await asyncio.sleep(terms.unreachable_s)
     set_unreachable(world, terms.unreachable, False)
-    for end in terms.ends:
-        leader = await next_leader(world)
-        await asyncio.sleep(terms.term_s)
-        if leader.leading() is not None:
-            await end_term(world, leader, end)
-    world_limit_s = LIMITS["workers"]["cancel_s"]
-    await asyncio.sleep(world_limit_s)
+    for end, loads in zip_longest(terms.ends, terms.loads, fillvalue=False):
+        assert isinstance(end, End)
+        await play_term(world, terms, end, bool(loads))
+    await asyncio.sleep(LIMITS["workers"]["cancel_s"])
     world.late_unanswered_s = lambda call: None
+    world.deliver_heartbeat, world.deliver_command = restore  # type: ignore[method-assign]
     users.cancel()
     await world.poll_until_terminal()
     return world
@@ -201,6 +262,17 @@
     assert run(lambda: play(terms)).broken == []
 
 
+@pytest.mark.parametrize("timings", TIMINGS, ids=lambda timings: f"lease{timings[1]:g}")
+def test_a_term_without_records_after_a_loaded_one_out_of_reach_keeps_no_cancelled_task_alive(
+    monkeypatch: pytest.MonkeyPatch, timings: tuple[float, float, float]
+) -> None:
+    set_timings(monkeypatch, timings)
+    ends = (End.RESIGNATION, End.RESIGNATION, End.CRASH, End.CRASH)
+    loads = (False, True, False, False)
+    terms = Terms(ends, 8.0, loads, reach_when_loaded=Reach.NONE)
+    assert run(lambda: play(terms)).broken == []
+
+
 @pytest.mark.parametrize("seed", range(30))
 def test_a_generated_sequence_of_terms_keeps_no_cancelled_task_alive(
     monkeypatch: pytest.MonkeyPatch, seed: int
--- a/tests/wire_examples.py
+++ b/tests/wire_examples.py
@@ -36,6 +36,7 @@
 from salthead.leader.peer_calls import ask_connectivity, ask_to_withhold_vote  # noqa: E402
 from salthead.leader.term import Term  # noqa: E402
 from salthead.leases.leader_lease import LeaseClock  # noqa: E402
+from salthead.leases.unloaded_renewals import NO_TERM  # noqa: E402
 from salthead.policy import PartialCutPolicy, Policy, ZonePolicy  # noqa: E402
 from salthead.protocol.messages import JobStatus, StopCommand, encode  # noqa: E402
 from salthead.scheduling import scheduling_pass  # noqa: E402
@@ -236,7 +237,7 @@
     )
     controller.machine_types.update({found.name: found for found in FLAVORS})
     lease = HeldLease(controller.state_store, LEASE, NOW, 1e9)
-    term = Term(controller, FENCING_TOKEN, REVISION, lease, LeaseClock(lease.ttl))
+    term = Term(controller, FENCING_TOKEN, REVISION, lease, LeaseClock(lease.ttl), NO_TERM)
     term.clock.record_renewal(NOW)
     ledger = term.ledger
     ledger.loaded = ledger.ready = True
