Send stops with every answer that renews a lease

Cause: the first heartbeat of a term carries the last term's token, so its content does not count and it was acknowledged without commands. Each of several leaders in a row thus renewed the lease of a worker that heard only that answer, though it knew of the cancellation. The same held for a heartbeat that a direct answer had overtaken.

Change: such answers carry stops for the listed tasks whose jobs are over. A stop names its attempt, so one for an outdated list has no effect.

Why this works: a worker that accepts the renewal executes the stop with it.

--- a/src/salthead/heartbeats/handling.py
+++ b/src/salthead/heartbeats/handling.py
@@ -11,7 +11,7 @@
 from salthead.cluster.release_reason import ReleaseReason
 from salthead.event_log import event
 from salthead.failure_detection.preconditions import Action, Precondition, missing_preconditions
-from salthead.heartbeats.task_reconciliation import commands_for
+from salthead.heartbeats.task_reconciliation import commands_for, stops_of_ended_jobs
 from salthead.protocol import wire_names
 from salthead.protocol.messages import Command, Heartbeat
 
@@ -97,20 +97,20 @@
             # The answer carries the token, so the worker's next heartbeat shows it. The machine is
             # not added yet, since this may be a late copy from a machine that an earlier leader
             # terminated. No task was ever started on a machine that is not registered.
-            return []
+            return stops_of_ended_jobs(ledger, heartbeat)
         machine = _add_unexpected(ledger, heartbeat, now)
     if not direct:
         machine.acknowledged_at = now
         machine.links.acknowledged(heartbeat.incarnation, heartbeat.sequence, now)
     newer = (heartbeat.incarnation, heartbeat.sequence) > (machine.incarnation, machine.sequence)
     if not newer or not ledger.loaded:
-        return []
+        return stops_of_ended_jobs(ledger, heartbeat)
     if not current:
         # A late copy may list outdated tasks: exits that were reaped since, or tasks that run
         # elsewhere now. The machine may be registered meanwhile.
         machine.seen_in_earlier_term = True
         machine.endpoint = machine.endpoint or heartbeat.endpoint
-        return []
+        return stops_of_ended_jobs(ledger, heartbeat)
     return _apply_heartbeat(ledger, machine, heartbeat, now, direct)
 
 
--- a/src/salthead/heartbeats/task_reconciliation.py
+++ b/src/salthead/heartbeats/task_reconciliation.py
@@ -57,6 +57,33 @@
     return reconciliation.commands[:MAX_COMMANDS]
 
 
+def stops_of_ended_jobs(ledger: Ledger, heartbeat: Heartbeat) -> list[Command]:
+    """Return stops of the listed tasks whose jobs have ended or are cancelled, as far as loaded.
+
+    They go with each answer that renews a lease, also to a heartbeat whose content does not count
+    otherwise. A stop names its attempt, so one for an outdated list has no effect.
+    """
+    if not ledger.loaded:
+        return []
+    commands: list[Command] = [
+        StopCommand(task.task_id, task.attempt, 0.0)
+        for task in heartbeat.tasks
+        if task.phase != wire_names.EXITED and _job_is_over(ledger, task)
+    ]
+    return commands[:MAX_COMMANDS]
+
+
+def _job_is_over(ledger: Ledger, task: TaskStatus) -> bool:
+    try:
+        job_id, _ = split_task_id(task.task_id)
+    except MalformedMessageError:
+        return False
+    job = ledger.jobs.get(job_id)
+    return job is None or bool(
+        job.terminal_phase or job.cancel_requested or job.dependency_cancelled
+    )
+
+
 class TaskReconciliation:
     """Compares the tasks of one heartbeat with the bindings of its machine."""
 
--- a/tests/test_unloaded_terms.py
+++ b/tests/test_unloaded_terms.py
@@ -262,6 +262,16 @@
     assert run(lambda: play(terms)).broken == []
 
 
+@pytest.mark.parametrize("timings", TIMINGS, ids=lambda timings: f"lease{timings[1]:g}")
+@pytest.mark.parametrize("term_s", [3.0, 6.0])
+def test_loaded_leaders_heard_once_each_keep_no_cancelled_task_alive(
+    monkeypatch: pytest.MonkeyPatch, term_s: float, timings: tuple[float, float, float]
+) -> None:
+    set_timings(monkeypatch, timings)
+    terms = Terms(CRASHES, term_s, (True,) * 4, reach_when_loaded=Reach.FIRST_ANSWER)
+    assert run(lambda: play(terms)).broken == []
+
+
 @pytest.mark.parametrize("timings", TIMINGS, ids=lambda timings: f"lease{timings[1]:g}")
 def test_a_term_without_records_after_a_loaded_one_out_of_reach_keeps_no_cancelled_task_alive(
     monkeypatch: pytest.MonkeyPatch, timings: tuple[float, float, float]
