Separate the load of records and the pacing of requests; shorten the handling of heartbeats

Change: record_loading.py and pacing.py; _may_acknowledge and _acknowledge. Small modules with one type join the module that uses them: the records of the leader and of the token, the lists of the state service and its errors, the interfaces of hooks, the queue of a token bucket. No behaviour changes.

--- a/src/salthead/cluster/zone_hooks.py
+++ b/src/salthead/cluster/hooks.py
@@ -1,11 +1,12 @@
-"""Interface through which the ledger, scheduling and autoscaling call the zone recovery."""
+"""Interfaces through which lower layers call the detection of partitions and zone recovery."""
 
 from __future__ import annotations
 
-from collections.abc import Iterable
+from collections.abc import Iterable, Set
 from typing import Protocol
 
 from salthead.cluster.model import Binding, Job, Machine
+from salthead.policy import PartialCutPolicy
 
 
 class ZoneHooks(Protocol):
@@ -40,3 +41,27 @@
 
     def max_provision(self, zone: int) -> int | None:
         """Return how many machines of a kind may be provisioned in a zone at once, or None."""
+
+
+class SilenceHooks(Protocol):
+    """Receives heartbeats and phase changes; tells which machines seem to be partitioned."""
+
+    @property
+    def policy(self) -> PartialCutPolicy:
+        """Return the operator's policy for partial partitions."""
+
+    @property
+    def silent_zones(self) -> Set[int]:
+        """Return the zones from which no heartbeat arrives while other zones send them."""
+
+    def heartbeat_received(self, machine: Machine) -> None:
+        """Record that the machine has sent a new heartbeat."""
+
+    def phase_changed(self, machine: Machine) -> None:
+        """Record that a machine is up, lost or gone."""
+
+    def sweep(self, now: float) -> None:
+        """Detect the current partitions."""
+
+    def is_partitioned(self, machine: Machine) -> bool:
+        """Return whether the last sweep found the machine silent together with others."""
--- a/src/salthead/cluster/ledger.py
+++ b/src/salthead/cluster/ledger.py
@@ -21,6 +21,7 @@
 from salthead.cluster.estimates import StartAttainment
 from salthead.cluster.events import LedgerEvents
 from salthead.cluster.failover import Failover
+from salthead.cluster.hooks import SilenceHooks, ZoneHooks
 from salthead.cluster.invariants import Invariants
 from salthead.cluster.job_table import JobTable
 from salthead.cluster.machine_registry import MachineRegistry
@@ -28,10 +29,7 @@
 from salthead.cluster.orphans import OrphanTasks
 from salthead.cluster.pending_queue import PendingQueue
 from salthead.cluster.release_reason import ReleaseReason
-from salthead.cluster.silence_hooks import SilenceHooks
-from salthead.cluster.unloaded_heartbeats import UnloadedHeartbeats
-from salthead.cluster.worker_leases import WorkerLeases
-from salthead.cluster.zone_hooks import ZoneHooks
+from salthead.cluster.worker_leases import UnloadedHeartbeats, WorkerLeases
 from salthead.failure_detection.blocked_actions import BlockedActions
 from salthead.failure_detection.preconditions import Precondition
 from salthead.leases.unloaded_renewals import UNKNOWN_TERM, PrecedingTerm, unloaded_renewal_s
--- a/src/salthead/cluster/worker_leases.py
+++ b/src/salthead/cluster/worker_leases.py
@@ -1,16 +1,21 @@
-"""Expiry of worker leases: from when an unanswered worker certainly has no tasks left."""
+"""Worker leases: their certain expiry, and renewals before the records are loaded."""
 
 from __future__ import annotations
 
+import logging
 import math
 from collections.abc import Mapping
 
+from salthead import metrics
 from salthead.cluster.machine_registry import MachineRegistry
 from salthead.cluster.model import Job, Machine
+from salthead.event_log import event
 from salthead.leases.leader_lease import certainly_expired_at
 from salthead.protocol import wire_names
 from salthead.settings import WorkerTimings
 
+log = logging.getLogger(__name__)
+
 
 class WorkerLeases:
     """The leases of all workers as one leader counts them, in seconds of monotonic time."""
@@ -66,3 +71,29 @@
             if job.cancel_requested or job.terminal_phase
             for binding in job.bindings.values()
         ) or any(m.orphans for m in self.registry.machines.values() if m.zone == zone)
+
+
+class UnloadedHeartbeats:
+    """Events and counts of one term's answers to heartbeats before it has loaded the records."""
+
+    def __init__(self, fencing_token: int) -> None:
+        self.fencing_token = fencing_token
+        self.logged: set[bool] = set()
+
+    def record(self, worker: str, answered: bool, until: float, now: float) -> None:
+        """Count a heartbeat, and log the first one that is answered and the first one that is not.
+
+        ``until``: when this leader stops answering heartbeats unless it has loaded the records.
+        """
+        metrics.UNLOADED_HEARTBEATS.labels("acknowledged" if answered else "refused").inc()
+        if answered not in self.logged:
+            self.logged.add(answered)
+            event(
+                log,
+                "unloaded_heartbeat",
+                fencing_token=self.fencing_token,
+                worker=worker,
+                acknowledged=answered,
+                at=now,
+                until=until,
+            )
--- a/src/salthead/controller/connectivity.py
+++ b/src/salthead/controller/connectivity.py
@@ -13,7 +13,7 @@
 from salthead.protocol.messages import Heartbeat
 from salthead.protocol.peer_messages import ConnectivityReport, RedirectedHeartbeat
 from salthead.state_store import records
-from salthead.state_store.errors import RequestRefusedError
+from salthead.state_store.messages import RequestRefusedError
 from salthead.state_store.request_stats import RequestClass
 from salthead.transport.client import HttpClient, UnansweredError
 
--- a/src/salthead/controller/election.py
+++ b/src/salthead/controller/election.py
@@ -12,22 +12,27 @@
 import msgspec
 
 from salthead.controller.context import ControllerContext
-from salthead.controller.leader_record import LeaderRecord, decode_leader
 from salthead.controller.leader_view import LeaderView
 from salthead.failure_detection.preconditions import Action, Precondition, permits
 from salthead.leases import leader_lease
 from salthead.leases.leader_lease import LeaderStickiness
 from salthead.leases.unloaded_renewals import NO_TERM, PrecedingTerm
 from salthead.state_store import records
-from salthead.state_store.errors import (
+from salthead.state_store.held_lease import HeldLease, RevocationReason
+from salthead.state_store.messages import (
     RETRYABLE_ERRORS,
     ConflictError,
     LeaseExpiredError,
     RequestRefusedError,
+    VersionedValue,
+    put,
+)
+from salthead.state_store.records import (
+    FencingTokenRecord,
+    LeaderRecord,
+    decode_fencing_token,
+    decode_leader,
 )
-from salthead.state_store.fencing_token import FencingTokenRecord, decode_fencing_token
-from salthead.state_store.held_lease import HeldLease, RevocationReason
-from salthead.state_store.messages import VersionedValue, put
 from salthead.state_store.request_stats import RequestClass
 from salthead.transport.client import UnansweredError
 
--- a/src/salthead/controller/handlers.py
+++ b/src/salthead/controller/handlers.py
@@ -33,7 +33,7 @@
     decode_withhold_vote,
 )
 from salthead.protocol.validation import decode_heartbeat, decode_submission
-from salthead.state_store.errors import ConflictError, LeaseExpiredError, RequestRefusedError
+from salthead.state_store.messages import ConflictError, LeaseExpiredError, RequestRefusedError
 from salthead.transport.client import UnansweredError
 from salthead.transport.http import PrefixRoutes, Reply, Request, Route, Router
 
--- a/src/salthead/controller/machine_types.py
+++ b/src/salthead/controller/machine_types.py
@@ -7,7 +7,7 @@
 from salthead.protocol import wire_names
 from salthead.protocol.messages import MachineType, MachineTypes, shape
 from salthead.state_store import records
-from salthead.state_store.errors import RETRYABLE_ERRORS, ConflictError, RequestRefusedError
+from salthead.state_store.messages import RETRYABLE_ERRORS, ConflictError, RequestRefusedError
 from salthead.state_store.request_stats import RequestClass
 
 REFRESH_INTERVAL_S, RETRY_S = 60.0, 2.0  # after a successful and a failed read
--- a/src/salthead/controller/submissions.py
+++ b/src/salthead/controller/submissions.py
@@ -25,8 +25,7 @@
     shape,
 )
 from salthead.state_store import records
-from salthead.state_store.errors import ConflictError, RequestRefusedError
-from salthead.state_store.messages import put
+from salthead.state_store.messages import ConflictError, RequestRefusedError, put
 from salthead.transport.client import Answer, HttpClient, UnansweredError
 
 log = logging.getLogger(__name__)
--- a/src/salthead/controller/zone_lease_delegate.py
+++ b/src/salthead/controller/zone_lease_delegate.py
@@ -12,8 +12,7 @@
 from salthead.protocol import wire_names
 from salthead.protocol.messages import Heartbeat
 from salthead.state_store import records
-from salthead.state_store.errors import RETRYABLE_ERRORS, ConflictError
-from salthead.state_store.messages import delete, put
+from salthead.state_store.messages import RETRYABLE_ERRORS, ConflictError, delete, put
 from salthead.state_store.request_stats import RequestClass
 from salthead.transport.client import UnansweredError
 
--- a/src/salthead/heartbeats/handling.py
+++ b/src/salthead/heartbeats/handling.py
@@ -84,18 +84,44 @@
         ledger.newer_fencing_token = max(ledger.newer_fencing_token, heartbeat.fencing_token)
     if machine is not None and not direct:
         _record_acknowledgements(ledger, machine, heartbeat, current, now)
-    held = _acknowledgement_preconditions(ledger, machine, heartbeat, current or direct, now)
+    if not _may_acknowledge(ledger, machine, heartbeat, current or direct, now):
+        return None
+    return _acknowledge(ledger, machine, heartbeat, current, now, direct)
+
+
+def _may_acknowledge(
+    ledger: Ledger, machine: Machine | None, heartbeat: Heartbeat, receives: bool, now: float
+) -> bool:
+    """Return whether the heartbeat may be answered, and record it if not.
+
+    ``receives``: as in ``_acknowledgement_preconditions``.
+    """
+    held = _acknowledgement_preconditions(ledger, machine, heartbeat, receives, now)
     missing = missing_preconditions(Action.ACKNOWLEDGE_HEARTBEAT, held)
     if not ledger.loaded:
         until = ledger.unloaded_renewals_end_at
         ledger.unloaded_heartbeats.record(heartbeat.worker, not missing, until, now)
     if missing:
         ledger.blocked_actions.record(Action.ACKNOWLEDGE_HEARTBEAT, missing, now)
-        return None
+    return not missing
+
+
+def _acknowledge(
+    ledger: Ledger,
+    machine: Machine | None,
+    heartbeat: Heartbeat,
+    current: bool,
+    now: float,
+    direct: bool,
+) -> list[Command]:
+    """Return the commands of an answer, which renews the worker's lease.
+
+    The content of a heartbeat counts only if it is new and has this term's token, and once the
+    records are loaded. Otherwise the answer carries the token, so that the next one shows it.
+    """
     if machine is None:
         if not current or not ledger.loaded:
-            # The answer carries the token, so the worker's next heartbeat shows it. The machine is
-            # not added yet, since this may be a late copy from a machine that an earlier leader
+            # Not added yet, since this may be a late copy from a machine that an earlier leader
             # terminated. No task was ever started on a machine that is not registered.
             return stops_of_ended_jobs(ledger, heartbeat)
         machine = _add_unexpected(ledger, heartbeat, now)
--- a/src/salthead/leader/autoscaler.py
+++ b/src/salthead/leader/autoscaler.py
@@ -19,7 +19,7 @@
 from salthead.leader.fleet_metrics import FleetMetrics
 from salthead.leader.machine_registry_records import MachineRegistryRecords
 from salthead.protocol.messages import MalformedMessageError
-from salthead.state_store.errors import RETRYABLE_ERRORS, RequestRefusedError
+from salthead.state_store.messages import RETRYABLE_ERRORS, RequestRefusedError
 from salthead.transport.client import UnansweredError
 
 log = logging.getLogger(__name__)
--- a/src/salthead/leader/cloud.py
+++ b/src/salthead/leader/cloud.py
@@ -10,7 +10,7 @@
 from salthead.protocol import wire_names
 from salthead.protocol.messages import MachineList, ProvisionedMachines, shape
 from salthead.settings import CloudLimits
-from salthead.state_store.errors import RequestRefusedError
+from salthead.state_store.messages import RequestRefusedError
 from salthead.transport.client import HttpClient
 from salthead.transport.limits import TokenBucket
 
--- a/src/salthead/leader/context.py
+++ b/src/salthead/leader/context.py
@@ -11,9 +11,8 @@
 from salthead.settings import Limits, StateLimits
 from salthead.state_store import records
 from salthead.state_store.client import StateStore
-from salthead.state_store.errors import ConflictError
 from salthead.state_store.held_lease import HeldLease
-from salthead.state_store.messages import Change
+from salthead.state_store.messages import Change, ConflictError
 from salthead.state_store.request_stats import RequestClass
 from salthead.transport.client import UnansweredError
 
--- a/src/salthead/leader/controller_interface.py
+++ b/src/salthead/leader/controller_interface.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import random
-from collections.abc import Mapping
+from collections.abc import Awaitable, Callable, Mapping
 from typing import Protocol
 
 from salthead.leases.leader_lease import LeaderStickiness
@@ -12,9 +12,13 @@
 from salthead.protocol.terminal_outcome import TerminalOutcome
 from salthead.settings import Limits, Settings, StateLimits
 from salthead.state_store.client import StateStore
+from salthead.state_store.messages import Listing
 from salthead.state_store.request_stats import RequestClass
 from salthead.transport.client import HttpClient
 
+# Returns all records with a prefix.
+ReadRecords = Callable[[str], Awaitable[Listing]]
+
 
 class JobLookup(Protocol):
     """Consistent reads of jobs in the state service."""
--- a/src/salthead/leader/job_records.py
+++ b/src/salthead/leader/job_records.py
@@ -6,17 +6,15 @@
 from typing import Any
 
 from salthead.leader.context import TermContext
-from salthead.leader.controller_interface import JobLookup
+from salthead.leader.controller_interface import JobLookup, ReadRecords
 from salthead.leader.done_task_pages import DoneTaskPages
 from salthead.leader.machine_registry_records import MachineRegistryRecords
-from salthead.leader.record_reader import RecordReader
 from salthead.leader.save_loop import SaveLoop
 from salthead.protocol import wire_names
 from salthead.protocol.messages import MalformedMessageError, Submission
 from salthead.protocol.terminal_outcome import TerminalOutcome
 from salthead.state_store import records
-from salthead.state_store.errors import RETRYABLE_ERRORS, CompactedError
-from salthead.state_store.messages import decode_logged_change
+from salthead.state_store.messages import RETRYABLE_ERRORS, CompactedError, decode_logged_change
 from salthead.state_store.request_stats import RequestClass
 from salthead.transport.client import UnansweredError
 
@@ -47,18 +45,18 @@
         # Jobs whose record has continuation values that have not been read.
         self.incomplete: dict[str, None] = {}
 
-    async def load(self, reader: RecordReader) -> None:
+    async def load(self, read: ReadRecords) -> None:
         """Load the jobs, done tasks and registered machines of earlier terms."""
-        jobs = await reader.read(records.JOBS)
+        jobs = await read(records.JOBS)
         self.known_epoch = jobs.epoch
-        done_tasks = (await reader.read(records.DONE_TASKS)).rows
-        machines = (await reader.read(records.MACHINE_REGISTRY)).rows
+        done_tasks = (await read(records.DONE_TASKS)).rows
+        machines = (await read(records.MACHINE_REGISTRY)).rows
         now = self.now()
         self.done_tasks.clear()
         self.machine_registry.clear()
         # Read after the jobs: a record and its continuation values are written in one transaction,
         # so none is missing for a job that was listed.
-        rows = (await reader.read(records.DEPENDENCIES)).rows
+        rows = (await read(records.DEPENDENCIES)).rows
         continuations = {key: value for key, (value, _) in rows.items()}
         for key, (value, revision) in jobs.rows.items():
             self.apply_row(key, value, revision, continuations, loading=True)
--- a/src/salthead/leader/leadership.py
+++ b/src/salthead/leader/leadership.py
@@ -12,7 +12,7 @@
 from salthead.leader.context import TermContext
 from salthead.leader.peer_calls import ask_connectivity, ask_to_withhold_vote
 from salthead.leases.leader_lease import vote_withheld_duration_s
-from salthead.state_store.errors import RETRYABLE_ERRORS, LeaseExpiredError
+from salthead.state_store.messages import RETRYABLE_ERRORS, LeaseExpiredError
 from salthead.transport.client import HttpClient
 
 log = logging.getLogger(__name__)
--- a/src/salthead/leader/machine_list.py
+++ b/src/salthead/leader/machine_list.py
@@ -11,7 +11,7 @@
 from salthead.leader.machine_type_records import MachineTypeRecords
 from salthead.protocol import wire_names
 from salthead.protocol.messages import ListedMachine
-from salthead.state_store.errors import RETRYABLE_ERRORS
+from salthead.state_store.messages import RETRYABLE_ERRORS
 
 log = logging.getLogger(__name__)
 
--- a/src/salthead/leader/machine_registry_records.py
+++ b/src/salthead/leader/machine_registry_records.py
@@ -12,8 +12,7 @@
 from salthead.leader.page_writer import write_pages
 from salthead.protocol.messages import shape
 from salthead.state_store import records
-from salthead.state_store.errors import RETRYABLE_ERRORS, ConflictError
-from salthead.state_store.messages import VersionedValue
+from salthead.state_store.messages import RETRYABLE_ERRORS, ConflictError, VersionedValue
 from salthead.state_store.pages import PageBatch, Pages
 
 CHECK_INTERVAL_S = 0.1
--- a/src/salthead/leader/machine_type_records.py
+++ b/src/salthead/leader/machine_type_records.py
@@ -9,9 +9,8 @@
 from salthead.leader.context import TermContext
 from salthead.protocol.messages import MachineType
 from salthead.state_store import records
-from salthead.state_store.batches import batches
-from salthead.state_store.errors import RETRYABLE_ERRORS, ConflictError
-from salthead.state_store.messages import Change, delete, put
+from salthead.state_store.messages import RETRYABLE_ERRORS, Change, ConflictError, delete, put
+from salthead.state_store.pages import batches
 from salthead.state_store.request_stats import RequestClass
 
 
--- a/src/salthead/leader/orphan_jobs.py
+++ b/src/salthead/leader/orphan_jobs.py
@@ -4,7 +4,7 @@
 
 from salthead.leader.context import TermContext
 from salthead.state_store import records
-from salthead.state_store.errors import RETRYABLE_ERRORS
+from salthead.state_store.messages import RETRYABLE_ERRORS
 from salthead.state_store.request_stats import RequestClass
 
 CHECK_INTERVAL_S = 0.5
--- a/src/salthead/leader/outcome_writer.py
+++ b/src/salthead/leader/outcome_writer.py
@@ -21,8 +21,7 @@
 from salthead.leader.indeterminate_outcomes import IndeterminateOutcomes
 from salthead.protocol import wire_names
 from salthead.state_store import records
-from salthead.state_store.errors import ConflictError, RequestRefusedError
-from salthead.state_store.messages import Change, delete, put
+from salthead.state_store.messages import Change, ConflictError, RequestRefusedError, delete, put
 from salthead.transport.client import UnansweredError
 
 log = logging.getLogger(__name__)
--- a/src/salthead/leader/outcomes.py
+++ b/src/salthead/leader/outcomes.py
@@ -25,7 +25,7 @@
 from salthead.leader.save_loop import SaveLoop
 from salthead.leader.worker_calls import WorkerCalls
 from salthead.protocol import wire_names
-from salthead.state_store.errors import RETRYABLE_ERRORS, ConflictError
+from salthead.state_store.messages import RETRYABLE_ERRORS, ConflictError
 from salthead.transport.client import UnansweredError
 
 log = logging.getLogger(__name__)
--- a/src/salthead/leader/page_writer.py
+++ b/src/salthead/leader/page_writer.py
@@ -3,8 +3,7 @@
 from __future__ import annotations
 
 from salthead.leader.context import TermContext
-from salthead.state_store.errors import ConflictError
-from salthead.state_store.messages import delete, put
+from salthead.state_store.messages import ConflictError, delete, put
 from salthead.state_store.pages import PageBatch, Pages
 from salthead.state_store.request_stats import RequestClass
 
--- a/src/salthead/leader/record_reader.py
+++ b/src/salthead/leader/record_loading.py
@@ -1,4 +1,4 @@
-"""Reads of the records that a new leader loads, with events that say what the load waits for."""
+"""Loading of the records of earlier terms, at the beginning of a term."""
 
 from __future__ import annotations
 
@@ -8,14 +8,16 @@
 from salthead import metrics
 from salthead.event_log import event
 from salthead.leader.context import TermContext
-from salthead.state_store.errors import RETRYABLE_ERRORS
-from salthead.state_store.listing import Listing
+from salthead.leader.job_records import JobRecords
+from salthead.leader.zone_lease_delegations import ZoneLeaseDelegations
+from salthead.state_store.messages import RETRYABLE_ERRORS, Listing
 from salthead.state_store.request_stats import RequestClass
 
 log = logging.getLogger(__name__)
 
 EXPECTED_LOAD_S = 2.0
 PAGE_RETRY_S = 0.2
+RETRY_S = 0.3
 
 
 class RecordReader:
@@ -73,3 +75,48 @@
                 waiting=stats.waiting_count(),
                 oldest_s=stats.longest_wait_s(),
             )
+
+
+class RecordLoading:
+    """Fills the ledger of a term from the records, and marks it as loaded."""
+
+    def __init__(
+        self, context: TermContext, job_records: JobRecords, delegations: ZoneLeaseDelegations
+    ) -> None:
+        self.context = context
+        self.job_records = job_records
+        self.delegations = delegations
+        self.reader = RecordReader(context)
+
+    async def run(self) -> None:
+        """Load the records, again after each error, and report if that takes long."""
+        reports = asyncio.create_task(self.reader.report_slow_loop())
+        try:
+            await self._load_until_done()
+        finally:
+            reports.cancel()
+            metrics.LOADING_SECONDS.set(0.0)
+
+    async def _load_until_done(self) -> None:
+        while not self.context.ledger.loaded:
+            try:
+                await self._load()
+            except RETRYABLE_ERRORS as error:
+                self.context.log_throttled("load", error)
+                await self.context.sleep_with_jitter(RETRY_S)
+
+    async def _load(self) -> None:
+        ledger = self.context.ledger
+        await self.job_records.load(self.reader.read)
+        await self.delegations.load(self.reader.read)
+        ledger.loaded = True
+        event(
+            log,
+            "records_loaded",
+            fencing_token=ledger.fencing_token,
+            revision=self.job_records.known_epoch,
+            jobs=len(ledger.jobs),
+            machines=len(ledger.machines),
+            machine_types=len(ledger.machine_types),
+            leases_from=ledger.leases.counted_from,
+        )
--- a/src/salthead/leader/save_loop.py
+++ b/src/salthead/leader/save_loop.py
@@ -9,8 +9,7 @@
 from salthead.leader.context import TermContext
 from salthead.leader.done_task_pages import DoneTaskPages
 from salthead.state_store import records
-from salthead.state_store.errors import RETRYABLE_ERRORS, ConflictError
-from salthead.state_store.messages import delete
+from salthead.state_store.messages import RETRYABLE_ERRORS, ConflictError, delete
 from salthead.state_store.request_stats import RequestClass
 
 # Workers keep the result of a done task until it is saved, so these writes can be rare.
--- a/src/salthead/leader/term.py
+++ b/src/salthead/leader/term.py
@@ -9,9 +9,8 @@
 from collections.abc import Coroutine
 from typing import TYPE_CHECKING, Any
 
-from salthead import metrics
 from salthead.cluster.ledger import Ledger
-from salthead.event_log import error_event, event
+from salthead.event_log import error_event
 from salthead.heartbeats.handling import handle_heartbeat
 from salthead.leader.autoscaler import Autoscaler
 from salthead.leader.background import BackgroundTasks
@@ -28,7 +27,7 @@
 from salthead.leader.machine_type_records import MachineTypeRecords
 from salthead.leader.orphan_jobs import UnknownJobLookupLoop
 from salthead.leader.outcomes import Outcomes
-from salthead.leader.record_reader import RecordReader
+from salthead.leader.record_loading import RecordLoading
 from salthead.leader.save_loop import SaveLoop
 from salthead.leader.scheduling_loop import SchedulingLoop
 from salthead.leader.term_record import TermRecord
@@ -39,8 +38,8 @@
 from salthead.leases.unloaded_renewals import PrecedingTerm
 from salthead.policy import PartialCutPolicy
 from salthead.protocol.messages import Command, Heartbeat, JobStatus
-from salthead.state_store.errors import RETRYABLE_ERRORS, RequestRefusedError
 from salthead.state_store.held_lease import HeldLease, RevocationReason
+from salthead.state_store.messages import RequestRefusedError
 from salthead.transport.client import UnansweredError
 
 if TYPE_CHECKING:  # these modules load libraries that only some policies need
@@ -49,8 +48,6 @@
 
 log = logging.getLogger(__name__)
 
-LOAD_RETRY_S = 0.3
-
 
 def _build_zone_loop(context: TermContext, controller: ControllerInterface) -> ZoneLoop | None:
     """Return the zone loop, or None if zone recovery is disabled."""
@@ -157,7 +154,6 @@
     def _build_records(self, controller: ControllerInterface) -> None:
         """Build the components that read and write the records in the state service."""
         context, job_reader = self.context, controller.job_reader
-        self.record_reader = RecordReader(context)
         self.term_record = TermRecord(context)
         self.done_tasks = DoneTaskPages(context)
         self.machine_registry = MachineRegistryRecords(context, self.request_scheduling_pass)
@@ -181,6 +177,8 @@
             self.term_record,
         )
 
+        self.record_loading = RecordLoading(context, self.job_records, self.zone_lease_delegations)
+
     def _build_views(self, controller: ControllerInterface) -> None:
         self.zone_loop = _build_zone_loop(self.context, controller)
         self.link_loop = _build_link_loop(self.context, controller)
@@ -255,7 +253,7 @@
 
     async def work_loop(self) -> None:
         """Load the records of earlier terms, then run the loops that act on the cluster."""
-        await self._load_until_done()
+        await self.record_loading.run()
         self.background.spawn(self.term_record.write_when_informed())
         self.background.spawn(
             self.worker_calls.reconcile_all(self.ledger.failover.unreconciled_machines())
@@ -264,40 +262,6 @@
             for loop in self._loops():
                 group.create_task(loop)
 
-    async def _load_until_done(self) -> None:
-        """Load the records of earlier terms, again after each error."""
-        reports = asyncio.create_task(self.record_reader.report_slow_loop())
-        try:
-            await self._retry_load()
-        finally:
-            reports.cancel()
-            metrics.LOADING_SECONDS.set(0.0)
-
-    async def _retry_load(self) -> None:
-        while not self.ledger.loaded:
-            try:
-                await self._load()
-            except RETRYABLE_ERRORS as error:
-                self.context.log_throttled("load", error)
-                await self.context.sleep_with_jitter(LOAD_RETRY_S)
-
-    async def _load(self) -> None:
-        """Load the records of earlier terms into the ledger."""
-        ledger = self.ledger
-        await self.job_records.load(self.record_reader)
-        await self.zone_lease_delegations.load(self.record_reader)
-        ledger.loaded = True
-        event(
-            log,
-            "records_loaded",
-            fencing_token=ledger.fencing_token,
-            revision=self.job_records.known_epoch,
-            jobs=len(ledger.jobs),
-            machines=len(ledger.machines),
-            machine_types=len(ledger.machine_types),
-            leases_from=ledger.leases.counted_from,
-        )
-
     def _loops(self) -> list[Coroutine[Any, Any, None]]:
         loops = [
             self.job_records.watch_loop(),
--- a/src/salthead/leader/term_record.py
+++ b/src/salthead/leader/term_record.py
@@ -9,9 +9,8 @@
 from salthead.leader.context import TermContext
 from salthead.leases.leader_lease import certainly_expired_at
 from salthead.state_store import records
-from salthead.state_store.errors import RETRYABLE_ERRORS, ConflictError
-from salthead.state_store.fencing_token import FencingTokenRecord, decode_fencing_token
-from salthead.state_store.messages import put
+from salthead.state_store.messages import RETRYABLE_ERRORS, ConflictError, put
+from salthead.state_store.records import FencingTokenRecord, decode_fencing_token
 from salthead.state_store.request_stats import RequestClass
 from salthead.transport.client import UnansweredError
 
--- a/src/salthead/leader/worker_calls.py
+++ b/src/salthead/leader/worker_calls.py
@@ -16,7 +16,7 @@
 from salthead.protocol import wire_names
 from salthead.protocol.messages import Command, CommandRequest, Heartbeat, StopCommand, shape
 from salthead.scheduling import eligibility
-from salthead.state_store.errors import RETRYABLE_ERRORS
+from salthead.state_store.messages import RETRYABLE_ERRORS
 from salthead.transport.client import Answer, HttpClient, UnansweredError
 
 # A healthy machine answers a direct call within milliseconds. Machines that time out are called
--- a/src/salthead/leader/zone_lease_delegations.py
+++ b/src/salthead/leader/zone_lease_delegations.py
@@ -11,12 +11,19 @@
 from typing import Any
 
 from salthead.leader.context import TermContext
-from salthead.leader.record_reader import RecordReader
+from salthead.leader.controller_interface import ReadRecords
 from salthead.leader.term_record import TermRecord
 from salthead.leases.zone_leases import delegation_end_for_leader
 from salthead.state_store import records
-from salthead.state_store.errors import RETRYABLE_ERRORS, CompactedError, ConflictError
-from salthead.state_store.messages import VersionedValue, decode_logged_change, delete, put
+from salthead.state_store.messages import (
+    RETRYABLE_ERRORS,
+    CompactedError,
+    ConflictError,
+    VersionedValue,
+    decode_logged_change,
+    delete,
+    put,
+)
 from salthead.state_store.request_stats import RequestClass
 
 WATCH_TIMEOUT_S = 10.0
@@ -45,7 +52,7 @@
         self.term_record = term_record
         self.earlier_grants: dict[str, int] = {}  # keys and revisions of earlier terms' grants
 
-    async def load(self, reader: RecordReader) -> None:
+    async def load(self, read: ReadRecords) -> None:
         """Count worker leases from the time when the grants of earlier leaders have expired.
 
         The grants are read after this term has begun. Every write of an earlier leader is
@@ -53,11 +60,11 @@
         without a grant delegates nothing.
         """
         context = self.context
-        requests = (await reader.read(records.DELEGATION_REQUESTS)).rows
+        requests = (await read(records.DELEGATION_REQUESTS)).rows
         members = {key.removeprefix(records.DELEGATION_REQUESTS) for key in requests}
         grants: dict[str, VersionedValue] = {}
         if self.partial_cuts_enabled:
-            grants = (await reader.read(records.DELEGATIONS)).rows
+            grants = (await read(records.DELEGATIONS)).rows
         self.earlier_grants = {key: revision for key, (_, revision) in grants.items()}
         context.ledger.leases.counted_from = context.now()
         if self.partial_cuts_enabled:
--- a/src/salthead/leader/zone_loop.py
+++ b/src/salthead/leader/zone_loop.py
@@ -9,9 +9,8 @@
 from salthead.leader.context import TermContext
 from salthead.leader.declared_networks import network_silence
 from salthead.policy import Network, ZonePolicy
-from salthead.state_store.batches import batches
-from salthead.state_store.errors import RETRYABLE_ERRORS, ConflictError
-from salthead.state_store.messages import VersionedValue, put
+from salthead.state_store.messages import RETRYABLE_ERRORS, ConflictError, VersionedValue, put
+from salthead.state_store.pages import batches
 from salthead.state_store.request_stats import RequestClass
 from salthead.zones import records
 from salthead.zones.record_writer import KeyedRecord
--- a/src/salthead/state_store/client.py
+++ b/src/salthead/state_store/client.py
@@ -2,40 +2,42 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Iterator, Sequence
-from contextlib import contextmanager
+from collections.abc import Callable, Sequence
 from typing import Any
 
 from salthead.protocol import wire_names
 from salthead.protocol.messages import shape
-from salthead.state_store.errors import (
+from salthead.state_store.messages import (
+    Change,
     CompactedError,
+    Condition,
     ConflictError,
     LeaseExpiredError,
+    Listing,
     RequestRefusedError,
-)
-from salthead.state_store.listing import Listing
-from salthead.state_store.messages import (
-    Change,
-    Condition,
     Transaction,
     VersionedValue,
     required_int,
 )
-from salthead.state_store.request_limits import read_rates
+from salthead.state_store.pacing import RequestPacing, UserReads
 from salthead.state_store.request_stats import RequestClass, RequestResult, RequestStats
-from salthead.state_store.user_reads import UserReads
 from salthead.transport.client import Answer, HttpClient, UnansweredError
-from salthead.transport.limits import TokenBucket
-from salthead.transport.wait_queue import QueueFullError, WaitQueue
 
 READ_TIMEOUT_S = 1.5
 LIST_TIMEOUT_S = 3.0
 REVOKE_TIMEOUT_S = 1.0
 WATCH_GRACE_S = 2.0  # for the answer, after the time that the service was asked to wait
-# Users wait 2 s for the status of a job, of which a question to the leader may have taken a part.
-MAX_USER_READ_WAIT_S = 1.0
-TOO_MANY_REQUESTS = 429
+
+
+def _new_epoch(answer: Answer) -> int:
+    """Return the epoch after a transaction; raises an error if it was not applied."""
+    if answer.status == 400:
+        if "lease" in str(answer.body.get("error", "")):
+            raise LeaseExpiredError("txn")
+        raise RequestRefusedError(answer.status, "txn")
+    if answer.status == 409:
+        raise ConflictError([str(key) for key in answer.body.get("failed") or []])
+    return required_int(answer.body, "epoch")
 
 
 class StateStore:
@@ -62,17 +64,10 @@
         self.urgent = dial(endpoint, self.URGENT)
         self.bulk = dial(endpoint, self.BULK)
         self.watches = dial(endpoint, self.WATCHES)
-        rates = read_rates(rps, write_rps, controller_count)
-        self.leader_reads = TokenBucket(rates.leader, rates.leader, now)
-        user_bucket = TokenBucket(rates.user, rates.user, now)
-        self.user_queue = WaitQueue(user_bucket, MAX_USER_READ_WAIT_S)
-        self.user_reads = UserReads(self.user_queue, self._read_for_user)
-        self.writes = TokenBucket(write_rps * 0.5, write_rps * 0.5, now)
-        # Writes of the machine registry and of done tasks have a bucket of their own, so that
-        # submissions and outcomes never wait behind them.
-        self.bulk_writes = TokenBucket(write_rps * 0.25, write_rps * 0.5, now)
         self.now = now
         self.stats = RequestStats(now)
+        self.pacing = RequestPacing(rps, write_rps, controller_count, now, self.stats)
+        self.user_reads = UserReads(self.pacing.user_turns, self._read_for_user)
         self.last_response_at = -1e9  # when the service last executed a request of this controller
 
     async def _send(
@@ -109,45 +104,13 @@
             return self.urgent
         return self.watches if request_class is RequestClass.WATCH else self.bulk
 
-    async def _wait_for_read(self, request_class: RequestClass) -> None:
-        if request_class is RequestClass.RECOVERY:
-            self.leader_reads.take()
-        elif request_class is RequestClass.USER:
-            with self._as_user_request("list"):
-                await self.user_queue.acquire()
-        elif request_class is not RequestClass.LEASE:
-            await self._wait(self.leader_reads, request_class, 1)
-
-    @contextmanager
-    def _as_user_request(self, operation: str) -> Iterator[None]:
-        """Count a request as waiting, and refuse it if its turn would come too late."""
-        try:
-            with self.stats.while_waiting(RequestClass.USER):
-                yield
-        except QueueFullError:
-            self.stats.record(RequestClass.USER, RequestResult.NOT_SENT)
-            raise RequestRefusedError(TOO_MANY_REQUESTS, operation) from None
-
-    async def _wait_for_write(self, request_class: RequestClass, change_count: int) -> None:
-        if request_class is RequestClass.LEASE:
-            return
-        bulk = request_class is RequestClass.BULK_WRITE
-        bucket = self.bulk_writes if bulk else self.writes
-        await self._wait(bucket, request_class, change_count)
-
-    async def _wait(self, bucket: TokenBucket, request_class: RequestClass, amount: int) -> None:
-        if not bucket.try_acquire(amount):
-            with self.stats.while_waiting(request_class):
-                await bucket.wait(amount)
-
     async def get(
         self, key: str, request_class: RequestClass, timeout: float = READ_TIMEOUT_S
     ) -> VersionedValue | None:
         """Return a key's value and revision, or None if the key does not exist."""
         if request_class is RequestClass.USER:
-            with self._as_user_request(key):
-                return await self.user_reads.get(key)
-        await self._wait_for_read(request_class)
+            return await self.user_reads.get(key)
+        await self.pacing.wait_for_read(request_class)
         return await self._read(key, request_class, timeout)
 
     async def _read_for_user(self, key: str) -> VersionedValue | None:
@@ -178,7 +141,7 @@
     async def read_page(self, listing: Listing, request_class: RequestClass) -> None:
         """Read the next page of a list."""
         began_at = self.now()
-        await self._wait_for_read(request_class)
+        await self.pacing.wait_for_read(request_class)
         listing.waited_s += self.now() - began_at
         answer = await self._send(
             request_class,
@@ -203,7 +166,7 @@
         Raises ConflictError if a condition fails, and LeaseExpiredError if the lease of a change
         has ended.
         """
-        await self._wait_for_write(request_class, len(changes))
+        await self.pacing.wait_for_write(request_class, len(changes))
         body = Transaction(
             [Condition(key, revision) for key, revision in conditions.items()], list(changes)
         )
@@ -216,13 +179,7 @@
             body,
             timeout=timeout,
         )
-        if answer.status == 400:
-            if "lease" in str(answer.body.get("error", "")):
-                raise LeaseExpiredError("txn")
-            raise RequestRefusedError(answer.status, "txn")
-        if answer.status == 409:
-            raise ConflictError([str(key) for key in answer.body.get("failed") or []])
-        return required_int(answer.body, "epoch")
+        return _new_epoch(answer)
 
     async def grant_lease(self, ttl_s: float, timeout: float = 1.5) -> int:
         """Create a lease and return its id."""
--- a/src/salthead/state_store/held_lease.py
+++ b/src/salthead/state_store/held_lease.py
@@ -13,7 +13,7 @@
 from salthead import metrics
 from salthead.event_log import event
 from salthead.state_store.client import StateStore
-from salthead.state_store.errors import LeaseExpiredError, RequestRefusedError
+from salthead.state_store.messages import LeaseExpiredError, RequestRefusedError
 from salthead.transport.client import UnansweredError
 
 log = logging.getLogger(__name__)
--- a/src/salthead/state_store/pages.py
+++ b/src/salthead/state_store/pages.py
@@ -8,13 +8,22 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable
-from typing import Any, NamedTuple
+from collections.abc import Iterable, Iterator, Sequence
+from typing import Any, NamedTuple, TypeVar
 
 import msgspec
 
 from salthead.protocol.messages import MalformedMessageError
 
+Item = TypeVar("Item")
+
+
+def batches(items: Sequence[Item], max_size: int) -> Iterator[Sequence[Item]]:
+    """Yield the items in batches of at most ``max_size``."""
+    for offset in range(0, len(items), max_size):
+        yield items[offset : offset + max_size]
+
+
 # Share of a value's permitted size that is filled; the rest is for separators and growth in place.
 FILL_SHARE = 0.8
 
--- a/src/salthead/state_store/records.py
+++ b/src/salthead/state_store/records.py
@@ -183,3 +183,35 @@
     if not all(type(part) is list for part in lists):
         raise MalformedMessageError("continued machine types")
     return {"builds": [machine_type for part in lists for machine_type in part]}
+
+
+class FencingTokenRecord(msgspec.Struct, frozen=True, omit_defaults=True):
+    """The value of the fencing token's key.
+
+    Earlier versions write the token alone, which leaves the facts at their defaults.
+    """
+
+    fencing_token: int = msgspec.field(name="n")
+    # Each lease in force was last renewed with the knowledge of all cancellations before that.
+    informed: bool = False
+    # Another controller may have renewed leases since, under a delegation of this term.
+    delegated: bool = False
+
+
+def decode_fencing_token(value: Any) -> FencingTokenRecord:
+    """Decode the record of the last fencing token. Raises MalformedMessageError."""
+    return shape(value, FencingTokenRecord)
+
+
+class LeaderRecord(msgspec.Struct, frozen=True):
+    """The value of the leader's key."""
+
+    member: str | None = None
+    run_id: str | None = msgspec.field(name="run", default=None)  # of the leading process
+    fencing_token: int = msgspec.field(name="token", default=0)
+    nonce: str | None = None  # of the campaign that won
+
+
+def decode_leader(value: Any) -> LeaderRecord:
+    """Decode the leader's record. Raises MalformedMessageError."""
+    return shape(value, LeaderRecord)
--- a/tests/test_election.py
+++ b/tests/test_election.py
@@ -10,8 +10,8 @@
 from helpers import LIMITS, spec
 from salthead.controller.controller import Controller
 from salthead.leases.leader_lease import leader_ttl
-from salthead.state_store.errors import LeaseExpiredError
 from salthead.state_store.held_lease import HeldLease, RevocationReason
+from salthead.state_store.messages import LeaseExpiredError
 from salthead.transport.client import UnansweredError
 from standins import World, run
 from standins.network import Call
--- a/tests/test_http.py
+++ b/tests/test_http.py
@@ -16,8 +16,7 @@
 from salthead.controller.handlers import ClientHandlers
 from salthead.protocol.messages import Submission, encode
 from salthead.state_store import records
-from salthead.state_store.errors import ConflictError, RequestRefusedError
-from salthead.state_store.messages import Put, VersionedValue
+from salthead.state_store.messages import ConflictError, Put, RequestRefusedError, VersionedValue
 
 JOB: dict[str, Any] = {
     "uid": "req-7",
--- a/tests/test_ledger.py
+++ b/tests/test_ledger.py
@@ -232,7 +232,6 @@
         handle_heartbeat(led, heartbeat("m1", 2, ("req-1/0", 3, "running")), 1.0)
         assert led.jobs["req-1"].bindings
 
-
     def test_a_leader_without_records_counts_a_machine_as_heard_by_any_heartbeat(self) -> None:
         led = ledger()
         led.loaded = False
--- a/tests/test_malformed_records.py
+++ b/tests/test_malformed_records.py
@@ -10,7 +10,7 @@
 
 from salthead import metrics
 from salthead.state_store.client import StateStore
-from salthead.state_store.errors import RETRYABLE_ERRORS
+from salthead.state_store.messages import RETRYABLE_ERRORS
 from salthead.state_store.request_stats import RequestClass
 from salthead.transport.client import Answer
 from standins import World, run
--- a/tests/test_outcomes.py
+++ b/tests/test_outcomes.py
@@ -20,8 +20,7 @@
 from salthead.leader.outcomes import Outcomes
 from salthead.leases.leader_lease import LeaseClock
 from salthead.protocol.terminal_outcome import TerminalOutcome
-from salthead.state_store.errors import ConflictError, RequestRefusedError
-from salthead.state_store.messages import Change, Put
+from salthead.state_store.messages import Change, ConflictError, Put, RequestRefusedError
 from salthead.transport.client import UnansweredError
 from scenarios import follower_names, loaded_leader, spawn, wait_until_running
 from standins import World, run
--- a/tests/test_record_writes.py
+++ b/tests/test_record_writes.py
@@ -18,7 +18,7 @@
 from salthead.protocol.messages import MachineType, encode
 from salthead.state_store import records
 from salthead.state_store.client import StateStore
-from salthead.state_store.errors import RETRYABLE_ERRORS, ConflictError
+from salthead.state_store.messages import RETRYABLE_ERRORS, ConflictError
 from salthead.transport.client import Answer, UnansweredError
 from salthead.zones import records as zone_records
 from salthead.zones.state import ZonePhase
--- a/tests/test_recovery.py
+++ b/tests/test_recovery.py
@@ -9,14 +9,13 @@
 
 from helpers import LIMITS
 from questions_world import RPS, change_leader
-from salthead.state_store.request_limits import (
+from salthead.state_store.pacing import (
     LEASE_AND_WATCH_SHARE,
     MIN_READ_SHARE,
+    UserReads,
     read_rates,
 )
-from salthead.state_store.user_reads import UserReads
-from salthead.transport.limits import TokenBucket
-from salthead.transport.wait_queue import QueueFullError, WaitQueue
+from salthead.transport.limits import QueueFullError, TokenBucket, WaitQueue
 from standins import run
 
 JOBS = 400
@@ -62,19 +61,20 @@
         await asyncio.sleep(0.01)
 
 
-def user_reads(rate: float, max_wait_s: float) -> tuple[UserReads, CountedReads]:
+def user_reads(rate: float, max_wait_s: float) -> tuple[UserReads, CountedReads, WaitQueue]:
     loop = asyncio.get_running_loop()
     counted = CountedReads()
     bucket = TokenBucket(rate, 1.0, loop.time)
-    return UserReads(WaitQueue(bucket, max_wait_s), counted), counted
+    queue = WaitQueue(bucket, max_wait_s)
+    return UserReads(queue, counted), counted, queue
 
 
 def test_reads_are_served_in_order_and_one_for_several_questions() -> None:
     async def scenario() -> list[str]:
-        reads, counted = user_reads(rate=10.0, max_wait_s=1.0)
+        reads, counted, queue = user_reads(rate=10.0, max_wait_s=1.0)
         keys = ["a", "b", "c", "b", "d", "c"]
         await asyncio.gather(*(reads.get(key) for key in keys))
-        assert not reads.queued and not reads.queue.waiting
+        assert not reads.queued and not queue.waiting
         return counted.keys
 
     assert run(scenario) == ["a", "b", "c", "d"]
@@ -82,7 +82,7 @@
 
 def test_a_question_beyond_the_bound_is_refused_at_once() -> None:
     async def scenario() -> None:
-        reads, _ = user_reads(rate=10.0, max_wait_s=0.5)
+        reads, _, _ = user_reads(rate=10.0, max_wait_s=0.5)
         began_at = asyncio.get_running_loop().time()
         questions = [asyncio.create_task(reads.get(f"key-{n}")) for n in range(20)]
         results = await asyncio.gather(*questions, return_exceptions=True)
@@ -94,14 +94,14 @@
 
 def test_a_question_leaves_the_queue_when_whoever_asked_has_given_up() -> None:
     async def scenario() -> list[str]:
-        reads, counted = user_reads(rate=1.0, max_wait_s=5.0)
+        reads, counted, queue = user_reads(rate=1.0, max_wait_s=5.0)
         await reads.get("first")
         given_up = asyncio.create_task(reads.get("given up"))
         kept = asyncio.create_task(reads.get("kept"))
         await asyncio.sleep(0.1)
         given_up.cancel()
         await kept
-        assert not reads.queue.waiting
+        assert not queue.waiting
         return counted.keys
 
     assert run(scenario) == ["first", "kept"]
--- a/tools/profile_costs.py
+++ b/tools/profile_costs.py
@@ -45,6 +45,7 @@
 from salthead.heartbeats.handling import handle_heartbeat  # noqa: E402
 from salthead.leader.term import Term  # noqa: E402
 from salthead.leases.leader_lease import LeaseClock  # noqa: E402
+from salthead.leases.unloaded_renewals import NO_TERM  # noqa: E402
 from salthead.protocol import wire_names  # noqa: E402
 from salthead.protocol.messages import Heartbeat, encode  # noqa: E402
 from salthead.scheduling import scheduling_pass  # noqa: E402
@@ -181,7 +182,7 @@
         self.follower = self._controller("n1", "n0", self.endpoints[1])
         self.follower.leader_view.member = "n0"
         lease = HeldLease(self.leader.state_store, 1, 0.0, LEASE_S)
-        self.term = Term(self.leader, FENCING_TOKEN, 1, lease, LeaseClock(lease.ttl))
+        self.term = Term(self.leader, FENCING_TOKEN, 1, lease, LeaseClock(lease.ttl), NO_TERM)
         self.term.clock.record_renewal(self.leader.now())
         self.ledger = self.term.ledger
         fill_ledger(self.ledger, machines, self.leader.now())
