--- a/src/salthead/cluster/invariants.py
+++ b/src/salthead/cluster/invariants.py
@@ -33,6 +33,8 @@
     # At each new start, a team's usage and the unreconciled capacity are within its limit.
     WITHIN_LIMIT = "within_limit"
     START_BOUND = "start_bound"  # a start is sent only for a binding that its job lists
+    # A lease is renewed without the records of earlier terms only for a limited time.
+    RENEWAL_IN_TIME = "renewal_in_time"
     TOTALS_AGREE = "sums_agree"  # usage of teams and machines is the sum over their tasks
 
 
@@ -51,6 +53,8 @@
     jobs: dict[str, Job]
     machines: dict[str, Machine]
     unknown_jobs: set[str]
+    loaded: bool
+    unloaded_renewals_end_at: float
 
     def unreconciled_capacity(self) -> tuple[float, float]:
         """Return the CPUs and GPUs that any team's tasks may occupy on unreconciled machines."""
@@ -141,6 +145,18 @@
             machine=binding.machine.name,
         )
 
+    def may_renew_lease(self, worker: str, now: float) -> bool:
+        """Check that an answer may renew a worker's lease, by what this leader has loaded."""
+        ledger = self.ledger
+        if ledger.loaded or now < ledger.unloaded_renewals_end_at:
+            return True
+        return self._report_broken(
+            Invariant.RENEWAL_IN_TIME,
+            worker=worker,
+            at=now,
+            until=ledger.unloaded_renewals_end_at,
+        )
+
     def audit(self, now: float) -> None:
         """Compare usage with the sum over tasks: a slice of the machines, and at times all teams.
 
--- a/src/salthead/heartbeats/handling.py
+++ b/src/salthead/heartbeats/handling.py
@@ -86,6 +86,8 @@
         _record_acknowledgements(ledger, machine, heartbeat, current, now)
     if not _may_acknowledge(ledger, machine, heartbeat, current or direct, now):
         return None
+    if not direct and not ledger.invariants.may_renew_lease(heartbeat.worker, now):
+        return None
     return _acknowledge(ledger, machine, heartbeat, current, now, direct)
 
 
--- a/src/salthead/metrics.py
+++ b/src/salthead/metrics.py
@@ -128,6 +128,11 @@
     ["which"],
     registry=REGISTRY,
 )
+CANCELLED_JOBS_OVERDUE = Counter(
+    "salthead_cancelled_jobs_overdue_total",
+    "Cancelled jobs with a task on a machine after the time limit of cancellations",
+    registry=REGISTRY,
+)
 TASKS_ADOPTED = Counter(
     "salthead_tasks_adopted_total", "Tasks of earlier leaders taken over", registry=REGISTRY
 )
--- a/tests/test_invariants.py
+++ b/tests/test_invariants.py
@@ -3,10 +3,12 @@
 from __future__ import annotations
 
 from collections.abc import Callable
+from types import SimpleNamespace
+from typing import Any
 
 import pytest
 
-from helpers import heartbeat, job, ledger, machine, ready, verbs
+from helpers import heartbeat, job, ledger, limits, machine, ready, spec, verbs
 from salthead import metrics
 from salthead.cluster.invariants import (
     AUDIT_INTERVAL_S,
@@ -18,6 +20,9 @@
 from salthead.cluster.resources import ResourceUsage
 from salthead.cluster.sweep import sweep
 from salthead.heartbeats.handling import handle_heartbeat
+from salthead.leader.orphan_jobs import UnknownJobLookupLoop
+from salthead.leases.unloaded_renewals import NO_TERM
+from salthead.state_store import records
 
 
 def bind(led: Ledger, index: int = 0, granted: bool = True) -> None:
@@ -157,3 +162,27 @@
         led.allocated_by_team[one.team][0] == 4.0
         and led.machines["m1"].allocated == ResourceUsage()
     )
+
+
+def test_a_renewal_without_the_records_after_its_time_is_reported() -> None:
+    led = Ledger(limits(), 7, 100.0, preceding=NO_TERM)
+    ends_at = led.unloaded_renewals_end_at
+    assert led.invariants.may_renew_lease("m1", ends_at - 0.1)
+    with pytest.raises(InvariantBrokenError, match="renewal_in_time"):
+        led.invariants.may_renew_lease("m1", ends_at)
+    led.loaded = True
+    assert led.invariants.may_renew_lease("m1", ends_at)
+
+
+@pytest.mark.parametrize(("ended_s_ago", "reported"), [(39.0, 0), (41.0, 1)])
+def test_a_task_found_after_its_cancellation_was_due_is_reported(
+    ended_s_ago: float, reported: int
+) -> None:
+    led = Ledger(limits(), 7, 100.0, wall=5000.0)
+    context: Any = SimpleNamespace(
+        ledger=led, limits=led.limits, now=lambda: 100.0, fencing_token=7
+    )
+    before = metrics.CANCELLED_JOBS_OVERDUE._value.get()
+    outcome = records.outcome_value(spec(), "aborted", 5000.0 - ended_s_ago)
+    UnknownJobLookupLoop(context)._identify(outcome)
+    assert metrics.CANCELLED_JOBS_OVERDUE._value.get() - before == reported
