--- a/tests/soak_world.py
+++ b/tests/soak_world.py
@@ -9,17 +9,20 @@
 import asyncio
 import contextlib
 import random
+import time
 from typing import Any
 
 import cbor2
 from tornado.httpserver import HTTPServer
 
+from builders.platform import LIMITS
 from builders.submissions import submission, submission_fields
 from link_proxy import LinkProxy, Mode
 from link_setup import LinkSetup, address_of, listen_for
 from local_setup import LocalWorld
 from salthead.protocol.messages import Submission
 from salthead.transport.client import Answer, HttpClient, UnansweredError
+from salthead.transport.limits import TokenBucket
 from standins import Worker
 from zone_world import ZoneWorld
 
@@ -41,6 +44,8 @@
             await asyncio.sleep(0.1)  # hold open watches
         if self.controller in world.refused_controllers:
             return Answer(503, {})
+        if not world.state_requests.try_acquire():
+            return Answer(429, {})
         if method != "GET" and world.rng.random() < world.late_writes:
             late_s = 0.0 if world.writes_at_once else world.rng.uniform(2.0, 8.0)
             world.run_later(late_s, world.state.handle(method, path, query, body))
@@ -77,6 +82,8 @@
         self.endpoints: dict[str, str] = {}
         self.listening: list[HTTPServer] = []
         self.refused_controllers: set[int] = set()
+        rps = LIMITS["state"]["rps"]
+        self.state_requests = TokenBucket(rps, rps, time.monotonic)
         self.machine_types_delay_s = 0.0
         self.background: set[asyncio.Task[Any]] = set()
 
