Skip questions that were given up when the queue of reads is served

Cause, by reading: a question whose wait had just ended was still in the queue while its task was cancelled; giving it its turn then raises an error in the timer, and the queue stands still until the next question.

Change: such questions are skipped; the last of a full queue has some slack for timers that fire late, and the timer that serves it for those that fire early.

Measured: test_recovery.py and test_layers.py, 192 passed. The new test of questions that are given up at any time passes without the change as well: on fake time the case doesn't occur.

--- a/src/salthead/transport/limits.py
+++ b/src/salthead/transport/limits.py
@@ -7,6 +7,9 @@
 
 from salthead.errors import SaltheadError
 
+REFILL_SLACK_S = 0.002  # for timers that fire early
+TURN_SLACK_S = 0.05  # for timers that fire late, so that the last of a full queue has its turn
+
 
 class TokenBucket:
     """A token bucket of ``rate`` tokens per second and at most ``burst`` tokens; starts full."""
@@ -45,7 +48,7 @@
         """Wait until there are enough tokens and take them, at most ``burst``."""
         amount = min(amount, self.burst)
         while not self.try_acquire(amount):
-            await asyncio.sleep(self.delay_s(amount) + 0.002)
+            await asyncio.sleep(self.delay_s(amount) + REFILL_SLACK_S)
 
 
 class QueueFullError(SaltheadError):
@@ -77,7 +80,7 @@
         self.waiting[turn] = None
         self._schedule()
         try:
-            await asyncio.wait_for(turn, self.max_wait_s)
+            await asyncio.wait_for(turn, self.max_wait_s + TURN_SLACK_S)
         except TimeoutError:
             raise QueueFullError("waited for too long") from None
         finally:
@@ -87,10 +90,12 @@
         """Serve the queue when the next token is due."""
         if self._timer is None and self.waiting:
             loop = asyncio.get_running_loop()
-            self._timer = loop.call_later(self.bucket.delay_s(), self._serve)
+            self._timer = loop.call_later(self.bucket.delay_s() + REFILL_SLACK_S, self._serve)
 
     def _serve(self) -> None:
         self._timer = None
+        for turn in [turn for turn in self.waiting if turn.done()]:
+            del self.waiting[turn]  # its caller is about to leave
         while self.waiting and self.bucket.try_acquire():
             turn = next(iter(self.waiting))
             del self.waiting[turn]
--- a/tests/test_recovery.py
+++ b/tests/test_recovery.py
@@ -105,3 +105,20 @@
         return counted.keys
 
     assert run(scenario) == ["first", "kept"]
+
+
+def test_questions_given_up_at_any_time_leave_the_others_served() -> None:
+    async def scenario() -> None:
+        reads, _, queue = user_reads(rate=20.0, max_wait_s=0.5)
+        errors: list[Any] = []
+        asyncio.get_running_loop().set_exception_handler(lambda _, found: errors.append(found))
+        for n in range(200):
+            question = asyncio.create_task(reads.get(f"key-{n % 7}"))
+            question.add_done_callback(lambda done: done.cancelled() or done.exception())
+            asyncio.get_running_loop().call_later(0.011 * (n % 50), question.cancel)
+            await asyncio.sleep(0.013)
+        await asyncio.sleep(1.0)
+        assert not queue.waiting and not reads.queued and not errors
+        await reads.get("last")
+
+    run(scenario)
