Check a delegation again after its mark is durable

What callers saw: nothing; found by reading the change once more.

Cause: the mark that a term has delegated leases is written between the check that no task of the zone has to stop and the grant. A cancellation that came meanwhile was followed by a grant. The renewals under it still ended within the leader's TTL after the confirmation, since a delegate counts from its request, but the check no longer held when the grant was sent.

Change: the check is made again after that write, which a term makes once.

Why this works: nothing is awaited between the second check and the request.

--- a/src/salthead/leader/zone_lease_delegations.py
+++ b/src/salthead/leader/zone_lease_delegations.py
@@ -104,18 +104,28 @@
         context = self.context
         if not context.ledger.ready:
             return  # a delegated zone would delay the failover for as long as the partition lasts
-        # The ledger counts the delegation before it is written, so that its assumed end is never
-        # too early, whatever the result of the write.
-        until = delegation_end_for_leader(context.now(), context.lease_clock.ttl)
-        if context.ledger.leases.delegate_zone(str(request.get("area")), until):
-            # Durable before the first renewal under the delegation.
+        area = str(request.get("area"))
+        if not self._count(area):
+            return
+        if not self.term_record.written.delegated:
             await self.term_record.write(delegated=True)
-            delegation = {"token": context.fencing_token, "nonce": request.get("nonce")}
-            await context.transaction(
-                {},
-                [put(records.DELEGATIONS + member, delegation)],
-                request_class=RequestClass.LEASE,
-            )
+            if not self._count(area):
+                return  # a task in the zone has to stop since
+        delegation = {"token": context.fencing_token, "nonce": request.get("nonce")}
+        await context.transaction(
+            {},
+            [put(records.DELEGATIONS + member, delegation)],
+            request_class=RequestClass.LEASE,
+        )
+
+    def _count(self, area: str) -> bool:
+        """Count a delegation of a zone as granted; return whether it may be.
+
+        It is counted before it is written, so that its assumed end is never too early, whatever the
+        result of the write.
+        """
+        until = delegation_end_for_leader(self.context.now(), self.context.lease_clock.ttl)
+        return self.context.ledger.leases.delegate_zone(area, until)
 
     async def delete_expired_loop(self) -> None:
         """Delete expired grants of earlier leaders, so that no later failover waits for them."""
--- a/tests/scenarios.py
+++ b/tests/scenarios.py
@@ -24,6 +24,18 @@
     return [name for name in world.names if name != leader.settings.member]
 
 
+def put_leader_in_the_north(world: World, leader: Controller) -> None:
+    """Make another controller the one in the south, if the leader is there."""
+    if world.area(leader.settings.member) == "north":
+        return
+    other = follower_names(world, leader)[0]
+    world.areas = {other: "south"}
+    leader.settings.area = "north"
+    controller = world.controllers[other]
+    assert controller is not None
+    controller.settings.area = "south"
+
+
 async def wait_until_running(world: World, job_id: str, many: int = 1) -> None:
     """Wait until that many tasks of a job are on machines."""
     while sum(task_id.startswith(job_id + "/") for _, task_id in world.on_machines()) < many:
--- a/tests/test_unloaded_terms.py
+++ b/tests/test_unloaded_terms.py
@@ -16,7 +16,13 @@
 
 from helpers import LIMITS, spec
 from salthead.controller.controller import Controller
-from scenarios import follower_names, loaded_leader, spawn, wait_until_running
+from scenarios import (
+    follower_names,
+    loaded_leader,
+    put_leader_in_the_north,
+    spawn,
+    wait_until_running,
+)
 from standins import World, run
 from standins.network import NEVER_S, Call
 from standins.worker import Worker
@@ -36,6 +42,7 @@
 RESTART_S = 8.0
 ELECTION_CHECK_S = 0.01
 MAX_ELECTION_S = 60.0
+WITHOUT_LEADER_S = 14.4  # a delegation of 4 s and a lease of 12 s, less an election
 ASK_INTERVAL_S = 0.5
 WRITE_CHECK_S = 0.0005  # shorter than the way back of an answer
 # Heartbeat interval, worker lease and time limit of cancellations of the users' deployments.
@@ -233,6 +240,37 @@
     return world
 
 
+async def play_delegation() -> World:
+    """Cancel a job in a zone with delegated leases, and let no leader follow for most of a lease.
+
+    The next leader begins just before the leases of the zone's workers end, and never loads.
+    """
+    world = World(seed=3, areas={"n2": "south"})
+    leader = await loaded_leader(world)
+    put_leader_in_the_north(world, leader)
+    await world.submit(spec("req-1", task_count=TASKS, zone="south", estimated_run_s=300.0))
+    await wait_until_running(world, "req-1", TASKS)
+    await asyncio.sleep(2.0 * LIMITS["workers"]["lease_s"])
+    world.zones_partitioned = True
+    while not any(key.startswith("kept/") for key in world.state.keys):
+        await asyncio.sleep(ELECTION_CHECK_S)
+    await asyncio.sleep(2.0)  # all workers of the zone have turned to the delegate
+    name = leader.settings.member
+    assert await world.ask(name, "req-1", "cancel") == "aborted"
+    await world.crash(name)
+    world.state.down = True
+    refuse_lists(world, ())
+    await asyncio.sleep(WITHOUT_LEADER_S)
+    assert world.on_machines(), "no lease of the zone is left to renew"
+    world.zones_partitioned = False
+    world.state.recover()
+    world.boot(name)
+    await asyncio.sleep(LIMITS["workers"]["cancel_s"])
+    world.late_unanswered_s = lambda call: None
+    await world.poll_until_terminal()
+    return world
+
+
 def set_timings(monkeypatch: pytest.MonkeyPatch, timings: tuple[float, float, float]) -> None:
     """Use a deployment's timings in the settings and the stand-ins."""
     for name, seconds in zip(("report_s", "lease_s", "cancel_s"), timings, strict=True):
@@ -283,6 +321,13 @@
     assert run(lambda: play(terms)).broken == []
 
 
+def test_renewals_under_a_delegation_and_without_records_keep_no_cancelled_task_alive(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    monkeypatch.setitem(LIMITS["workers"], "report_s", 0.6)
+    assert run(play_delegation).broken == []
+
+
 @pytest.mark.parametrize("seed", range(30))
 def test_a_generated_sequence_of_terms_keeps_no_cancelled_task_alive(
     monkeypatch: pytest.MonkeyPatch, seed: int
