Give reads for users connections of their own

What callers saw: nothing yet; found by looking for classes of requests that still wait behind another.

Cause: reads for users shared eight connections with the leader's reads and all writes. While the state service answers slowly, questions could occupy all of them, and outcomes waited; a question that was given up closed the idle connections of all.

Change: three of the eight are for reads of users alone; the number in all stays.

Why this works: a class with connections of its own occupies no others.

Measured: test_reads_for_users_occupy_no_connection_of_a_leader fails before (no answer to a leader's read within 1 s) and passes now.

--- a/src/salthead/state_store/client.py
+++ b/src/salthead/state_store/client.py
@@ -44,8 +44,8 @@
     """Client of the state service, within its connection and rate limits."""
 
     # Concurrent connections of each kind.
-    URGENT, BULK, WATCHES = 4, 8, 4
-    SLOTS = URGENT + BULK + WATCHES
+    URGENT, BULK, USER_READS, WATCHES = 4, 5, 3, 4
+    SLOTS = URGENT + BULK + USER_READS + WATCHES
 
     def __init__(
         self,
@@ -60,10 +60,15 @@
 
         ``rps`` and ``write_rps`` are the service's limits, which all controllers share.
         """
-        # For leases and recovery, which wait neither for a token nor behind other requests.
-        self.urgent = dial(endpoint, self.URGENT)
+        urgent, user_reads = dial(endpoint, self.URGENT), dial(endpoint, self.USER_READS)
         self.bulk = dial(endpoint, self.BULK)
-        self.watches = dial(endpoint, self.WATCHES)
+        # Classes with connections of their own, which no other class can occupy.
+        self.reserved = {
+            RequestClass.LEASE: urgent,
+            RequestClass.RECOVERY: urgent,
+            RequestClass.USER: user_reads,
+            RequestClass.WATCH: dial(endpoint, self.WATCHES),
+        }
         self.now = now
         self.stats = RequestStats(now)
         self.pacing = RequestPacing(rps, write_rps, controller_count, now, self.stats)
@@ -86,7 +91,7 @@
 
         Raises RequestRefusedError for another status, named by the operation, and UnansweredError.
         """
-        client = self._client_of(request_class)
+        client = self.reserved.get(request_class, self.bulk)
         try:
             answer = await client.call(method, path, body, timeout=timeout, query=query)
         except UnansweredError:
@@ -99,11 +104,6 @@
         self.last_response_at = self.now()
         return answer
 
-    def _client_of(self, request_class: RequestClass) -> HttpClient:
-        if request_class in (RequestClass.LEASE, RequestClass.RECOVERY):
-            return self.urgent
-        return self.watches if request_class is RequestClass.WATCH else self.bulk
-
     async def get(
         self, key: str, request_class: RequestClass, timeout: float = READ_TIMEOUT_S
     ) -> VersionedValue | None:
--- a/tests/test_recovery.py
+++ b/tests/test_recovery.py
@@ -9,6 +9,7 @@
 
 from helpers import LIMITS
 from questions_world import RPS, change_leader
+from salthead.state_store.client import StateStore
 from salthead.state_store.messages import RequestRefusedError
 from salthead.state_store.pacing import (
     LEASE_AND_WATCH_SHARE,
@@ -17,7 +18,8 @@
     UserTurns,
     read_rates,
 )
-from salthead.state_store.request_stats import RequestStats
+from salthead.state_store.request_stats import RequestClass, RequestStats
+from salthead.transport.client import Answer
 from salthead.transport.limits import TokenBucket, WaitQueue
 from standins import run
 
@@ -126,3 +128,33 @@
         await reads.get("last")
 
     run(scenario)
+
+
+class SlowReads:
+    """A client of a service that answers no read of a job within a minute."""
+
+    def __init__(self, slots: int) -> None:
+        self.slots = asyncio.Semaphore(slots)
+
+    async def call(self, method: str, path: str, *_: Any, **__: Any) -> Answer:
+        async with self.slots:
+            if path.startswith("/keys/job/"):
+                await asyncio.sleep(60.0)
+            return Answer(404, {})
+
+
+def test_reads_for_users_occupy_no_connection_of_a_leader() -> None:
+    async def scenario() -> None:
+        loop = asyncio.get_running_loop()
+        dial: Any = lambda endpoint, slots: SlowReads(slots)  # noqa: E731
+        store = StateStore("state:1", 250.0, 70.0, loop.time, dial)
+        users = [
+            asyncio.create_task(store.get(f"job/req-{n}", RequestClass.USER)) for n in range(30)
+        ]
+        await asyncio.sleep(0.1)
+        async with asyncio.timeout(1.0):
+            for request_class in (RequestClass.LEADER, RequestClass.LEASE):
+                assert await store.get("over/req-1", request_class) is None
+        assert not any(user.done() for user in users)
+
+    run(scenario)
