Bound what a load takes from the leader's later reads

What callers saw: nothing yet; found by reading.

Cause: the load takes no turn, but each attempt counts against the leader's reads. Where the rate of reads is lower than that of the attempts, a long outage during the load delayed all later reads of the leader by minutes.

Change: the bucket owes at most what it can hold.

--- a/src/salthead/transport/limits.py
+++ b/src/salthead/transport/limits.py
@@ -35,9 +35,12 @@
         return True
 
     def take(self, amount: float = 1.0) -> None:
-        """Take tokens at once; if there are too few, later requests wait for the refill."""
+        """Take tokens at once; if there are too few, later requests wait for the refill.
+
+        They wait for at most the time in which the bucket fills twice.
+        """
         self._refill()
-        self.tokens -= amount
+        self.tokens = max(self.tokens - amount, -self.burst)
 
     def delay_s(self, amount: float = 1.0) -> float:
         """Return the time until there are enough tokens, in seconds."""
--- a/tests/test_recovery.py
+++ b/tests/test_recovery.py
@@ -158,3 +158,12 @@
         assert not any(user.done() for user in users)
 
     run(scenario)
+
+
+def test_a_long_outage_during_the_load_delays_later_reads_for_seconds_only() -> None:
+    now = [0.0]
+    bucket = TokenBucket(rate=1.0, burst=1.0, now=lambda: now[0])
+    for _ in range(300):
+        now[0] += 0.2
+        bucket.take()
+    assert bucket.delay_s() <= 2.0
