--- a/tests/test_recovery.py
+++ b/tests/test_recovery.py
@@ -167,3 +167,19 @@
         now[0] += 0.2
         bucket.take()
     assert bucket.delay_s() <= 2.0
+
+
+def test_a_turn_whose_caller_has_left_is_skipped() -> None:
+    async def scenario() -> None:
+        loop = asyncio.get_running_loop()
+        queue = WaitQueue(TokenBucket(10.0, 2.0, loop.time), max_wait_s=1.0)
+        assert queue.try_acquire() and queue.try_acquire()
+        left, kept = (asyncio.create_task(queue.acquire()) for _ in range(2))
+        await asyncio.sleep(0.05)
+        next(iter(queue.waiting)).cancel()
+        loop.clock += 0.2  # type: ignore[attr-defined]
+        queue._serve()
+        await asyncio.wait([left, kept])
+        assert left.cancelled() and kept.exception() is None
+
+    run(scenario)
