Read the outcome after a conflict as the leader

What callers saw: nothing yet; found by reading.

Cause: the class of a read has a default, that of users' questions. The leader's read of an outcome after a conflict had it, and so waited behind questions, or was refused because of them.

Change: it is a read of the leader.

Measured: 11 tests of test_outcomes fail before, since the stand-in now asks for the class.

--- a/src/salthead/leader/outcome_writer.py
+++ b/src/salthead/leader/outcome_writer.py
@@ -22,6 +22,7 @@
 from salthead.protocol import wire_names
 from salthead.state_store import records
 from salthead.state_store.messages import Change, ConflictError, RequestRefusedError, delete, put
+from salthead.state_store.request_stats import RequestClass
 from salthead.transport.client import UnansweredError
 
 log = logging.getLogger(__name__)
@@ -181,7 +182,7 @@
                 self.indeterminate.add_unread_outcome(job.job_id)
         durable_count = 0
         for job in conflicting or jobs:
-            outcome = await self.job_lookup.read_outcome(job.job_id)
+            outcome = await self.job_lookup.read_outcome(job.job_id, RequestClass.LEADER)
             if outcome is not None:
                 durable_count += 1
                 self.on_durable(job, outcome.phase, outcome.ended_at)
--- a/tests/test_outcomes.py
+++ b/tests/test_outcomes.py
@@ -21,6 +21,7 @@
 from salthead.leases.leader_lease import LeaseClock
 from salthead.protocol.terminal_outcome import TerminalOutcome
 from salthead.state_store.messages import Change, ConflictError, Put, RequestRefusedError
+from salthead.state_store.request_stats import RequestClass
 from salthead.transport.client import UnansweredError
 from scenarios import follower_names, loaded_leader, spawn, wait_until_running
 from standins import World, run
@@ -99,7 +100,10 @@
         if not self.phases.keys() & outcomes.keys():
             self.phases |= outcomes
 
-    async def read_outcome(self, job_id: str) -> TerminalOutcome | None:
+    async def read_outcome(
+        self, job_id: str, request_class: RequestClass
+    ) -> TerminalOutcome | None:
+        assert request_class is RequestClass.LEADER, "it waits behind no question"
         if self.fate is Fate.READ_LOST:
             raise UnansweredError("connection closed")
         phase = self.phases.get(job_id)
