Let submissions wait as long as their users, and read less for them

Cause: the look-ups of a submission took turns as questions do: for a second at most, six at a time, though its user waits 5 s. An active dependency took two reads, since its outcome was read first, and the bursts were one second of the divided rate.

Change: reads for submissions and cancellations are a class of their own that waits for 3 s; the record of a job is read before its outcome, as a status does; the bursts share the service's burst. The class of a read has no default where a leader may read. The sum of the rates is as before.

Why this works: fewer reads, and each has the deadline of whoever asked.

--- a/src/salthead/controller/job_reader.py
+++ b/src/salthead/controller/job_reader.py
@@ -29,6 +29,7 @@
 class _DependencyWalk:
     """A breadth-first walk over the dependencies of a job, and its reads."""
 
+    request_class: RequestClass
     pending: deque[str] = field(default_factory=deque)
     visited: set[str] = field(default_factory=set)  # includes those that are pending
     read_count: int = 0  # reads of jobs that were not in memory
@@ -52,9 +53,7 @@
         self.leader_view = leader_view
         self.job_cache = job_cache
 
-    async def read_dependencies(
-        self, spec: Submission, request_class: RequestClass = RequestClass.USER
-    ) -> Submission:
+    async def read_dependencies(self, spec: Submission, request_class: RequestClass) -> Submission:
         """Return a job with all its dependencies, including those stored under further keys.
 
         Raises UnansweredError if one of these keys is missing.
@@ -74,6 +73,7 @@
         depends_on: list[str],
         deadline: float = math.inf,
         check_all: bool = False,
+        request_class: RequestClass = RequestClass.USER,
     ) -> bool:
         """Return whether one of these jobs, or any job that they depend on, was cancelled.
 
@@ -86,7 +86,7 @@
         never accepted, and UnavailableError if the walk has not ended by ``deadline``.
         """
         direct = set(depends_on)
-        walk = _DependencyWalk()
+        walk = _DependencyWalk(request_class)
         walk.add(depends_on)
         cancelled = False
         while walk.pending:
@@ -111,13 +111,10 @@
             return phase
         if walk.read_count == MAX_SINGLE_READS:
             walk.active_jobs, _ = await self.context.state_store.list_prefix(
-                records.JOBS, RequestClass.USER
+                records.JOBS, walk.request_class
             )
         walk.read_count += 1
-        row = None
-        if walk.active_jobs is not None:
-            row = walk.active_jobs.get(records.job_key(job_id))
-        return await self._read_phase(job_id, row)
+        return await self._read_phase(job_id, walk)
 
     def _phase_in_memory(self, job_id: str) -> tuple[bool, str | None]:
         """Return whether the phase is known from memory, and the terminal phase.
@@ -137,30 +134,33 @@
             wire_names.ABORTED if job.dependency_cancelled else None
         )
 
-    async def _read_phase(self, job_id: str, row: VersionedValue | None) -> str | None:
+    async def _read_phase(self, job_id: str, walk: _DependencyWalk) -> str | None:
         """Read a job's terminal phase; None for an active job, whose dependencies are then cached.
 
-        ``row``: the job's record, if it has been listed. Raises InvalidJobError if the job was
-        never accepted.
+        Raises InvalidJobError if the job was never accepted.
         """
-        if row is None:
-            if (outcome := await self.read_outcome(job_id)) is not None:
-                return outcome.phase
-            if job_id in self.job_cache.dependencies:
-                return None
-            row = await self.context.state_store.get(records.job_key(job_id), RequestClass.USER)
-        if row is None:  # it has ended since the first read, or was never accepted
-            if (outcome := await self.read_outcome(job_id)) is not None:
+        key = records.job_key(job_id)
+        row = None
+        if walk.active_jobs is not None:
+            row = walk.active_jobs.get(key)
+            # Nearly all that are not listed have ended; the others were accepted since.
+            if row is None and (outcome := await self.read_outcome(job_id, walk.request_class)):
                 return outcome.phase
-            raise InvalidJobError(f"awaits: {job_id} was never accepted")
+        if row is None:
+            row = await self.context.state_store.get(key, walk.request_class)
+        if row is None:
+            outcome = await self.read_outcome(job_id, walk.request_class)
+            if outcome is None:
+                raise InvalidJobError(f"awaits: {job_id} was never accepted")
+            return outcome.phase
         if job_id not in self.job_cache.dependencies:
             self.job_cache.remember_accepted(
-                await self.read_dependencies(records.decode_job(row.value))
+                await self.read_dependencies(records.decode_job(row.value), walk.request_class)
             )
         return None
 
     async def read_outcome(
-        self, job_id: str, request_class: RequestClass = RequestClass.USER
+        self, job_id: str, request_class: RequestClass
     ) -> TerminalOutcome | None:
         """Read and cache the outcome of a job; None if it has none."""
         row = await self.context.state_store.get(records.outcome_key(job_id), request_class)
@@ -170,17 +170,19 @@
         self.job_cache.remember_outcome(job_id, phase, spec.task_count, records.ended_at(row.value))
         return self.job_cache.terminal_outcomes[job_id]
 
-    async def read_status(self, job_id: str) -> JobStatus | None:
+    async def read_status(
+        self, job_id: str, request_class: RequestClass = RequestClass.USER
+    ) -> JobStatus | None:
         """Return a job's status by a consistent read; None if the job was never accepted."""
-        row = await self.context.state_store.get(records.job_key(job_id), RequestClass.USER)
+        row = await self.context.state_store.get(records.job_key(job_id), request_class)
         if row is None:
-            outcome = await self.read_outcome(job_id)
+            outcome = await self.read_outcome(job_id, request_class)
             return None if outcome is None else outcome.status(job_id)
-        spec = await self.read_dependencies(records.decode_job(row.value))
+        spec = await self.read_dependencies(records.decode_job(row.value), request_class)
         self.job_cache.remember_accepted(spec)
         try:
             cancelled = spec.depends_on is not None and await self.depends_on_cancelled(
-                spec.depends_on
+                spec.depends_on, request_class=request_class
             )
         except InvalidJobError as error:
             raise UnansweredError(str(error)) from None
--- a/src/salthead/controller/job_status.py
+++ b/src/salthead/controller/job_status.py
@@ -11,6 +11,7 @@
 from salthead.leader.term import Term
 from salthead.protocol import wire_names
 from salthead.protocol.messages import JobStatus
+from salthead.state_store.request_stats import RequestClass
 
 MAX_LISTED_DEPENDENCIES = 20
 STATUS_TIMEOUT_S, CANCEL_TIMEOUT_S = 0.8, 3.0  # of calls to the leader
@@ -68,8 +69,10 @@
         return None if term is None else self.from_term(term, job_id)
 
     async def as_leader(self, term: Term, job_id: str) -> JobStatus | None:
-        """Return a job's status at the leader; None if the job was never accepted."""
-        return self.from_term(term, job_id) or await self.job_reader.read_status(job_id)
+        """Return a job's status to a repeated submission; None if the job was never accepted."""
+        return self.from_term(term, job_id) or await self.job_reader.read_status(
+            job_id, RequestClass.SUBMISSION
+        )
 
     async def poll(self, job_id: str) -> JobStatus | None:
         """Return a job's status; None if the job was never accepted."""
@@ -98,7 +101,7 @@
         if status is not None:
             return status
         # Without the leader, only a job that has ended or was never accepted has a certain answer.
-        status = await self.job_reader.read_status(job_id)
+        status = await self.job_reader.read_status(job_id, RequestClass.SUBMISSION)
         if status is None or status.is_terminal:
             return status
         raise UnavailableError("no leader")
--- a/src/salthead/controller/submissions.py
+++ b/src/salthead/controller/submissions.py
@@ -26,6 +26,7 @@
 )
 from salthead.state_store import records
 from salthead.state_store.messages import ConflictError, RequestRefusedError, put
+from salthead.state_store.request_stats import RequestClass
 from salthead.transport.client import Answer, HttpClient, UnansweredError
 
 log = logging.getLogger(__name__)
@@ -87,7 +88,9 @@
             rows, dependency_cancelled = await self._build_records(job)
         except InvalidJobError:
             # A retry of an accepted job must not be refused, even if its checks fail by now.
-            if (status := await self.job_reader.read_status(job.job_id)) is not None:
+            if (
+                status := await self.job_reader.read_status(job.job_id, RequestClass.SUBMISSION)
+            ) is not None:
                 return SubmissionResult(status, created=False)
             raise
         try:
@@ -100,7 +103,7 @@
                 raise
             return await self._forward(job)
         except ConflictError:
-            status = await self.job_reader.read_status(job.job_id)
+            status = await self.job_reader.read_status(job.job_id, RequestClass.SUBMISSION)
             if status is None:
                 raise UnavailableError("in doubt") from None
             return SubmissionResult(status, created=False)
@@ -162,7 +165,10 @@
             if job_id == job.job_id or not JOB_ID.match(job_id):
                 raise InvalidJobError(f"awaits: {job_id[:60]!r} is no job that was accepted")
         return await self.job_reader.depends_on_cancelled(
-            depends_on, self.context.now() + MAX_LOOKUP_S, check_all=True
+            depends_on,
+            self.context.now() + MAX_LOOKUP_S,
+            check_all=True,
+            request_class=RequestClass.SUBMISSION,
         )
 
     # -- records ------------------------------------------------------------------------
--- a/src/salthead/leader/cancellation.py
+++ b/src/salthead/leader/cancellation.py
@@ -38,7 +38,7 @@
         """
         job = self.ledger.jobs.get(job_id) if self.ledger.loaded else None
         if job is None:
-            status = await self.job_lookup.read_status(job_id)
+            status = await self.job_lookup.read_status(job_id, RequestClass.SUBMISSION)
             if status is None or status.is_terminal:
                 return status
             job = await self._load_job(job_id)
@@ -57,7 +57,7 @@
 
     async def _load_job(self, job_id: str) -> Job:
         """Load an accepted job that is not over into the ledger, and return it."""
-        row = await self.context.state_store.get(records.job_key(job_id), RequestClass.USER)
+        row = await self.context.state_store.get(records.job_key(job_id), RequestClass.SUBMISSION)
         if row is None or not self.ledger.loaded:
             raise UnansweredError("cancel in doubt")
         self.job_records.apply_row(records.job_key(job_id), *row)
--- a/src/salthead/leader/controller_interface.py
+++ b/src/salthead/leader/controller_interface.py
@@ -24,16 +24,16 @@
     """Consistent reads of jobs in the state service."""
 
     async def read_outcome(
-        self, job_id: str, request_class: RequestClass = RequestClass.USER
+        self, job_id: str, request_class: RequestClass
     ) -> TerminalOutcome | None:
         """Return the outcome of a job, or None if it has none."""
 
-    async def read_dependencies(
-        self, spec: Submission, request_class: RequestClass = RequestClass.USER
-    ) -> Submission:
+    async def read_dependencies(self, spec: Submission, request_class: RequestClass) -> Submission:
         """Return a job with the dependencies that are stored in continuation values."""
 
-    async def read_status(self, job_id: str) -> JobStatus | None:
+    async def read_status(
+        self, job_id: str, request_class: RequestClass = RequestClass.USER
+    ) -> JobStatus | None:
         """Return the status of a job, or None if it was never accepted."""
 
 
--- a/src/salthead/state_store/client.py
+++ b/src/salthead/state_store/client.py
@@ -19,7 +19,7 @@
     VersionedValue,
     required_int,
 )
-from salthead.state_store.pacing import RequestPacing, UserReads
+from salthead.state_store.pacing import MAX_WAIT_S, RequestPacing, UserReads
 from salthead.state_store.request_stats import RequestClass, RequestResult, RequestStats
 from salthead.transport.client import Answer, HttpClient, UnansweredError
 
@@ -67,12 +67,13 @@
             RequestClass.LEASE: urgent,
             RequestClass.RECOVERY: urgent,
             RequestClass.USER: user_reads,
+            RequestClass.SUBMISSION: user_reads,
             RequestClass.WATCH: dial(endpoint, self.WATCHES),
         }
         self.now = now
         self.stats = RequestStats(now)
         self.pacing = RequestPacing(rps, write_rps, controller_count, now, self.stats)
-        self.user_reads = UserReads(self.pacing.user_turns, self._read_for_user)
+        self.user_reads = UserReads(self.pacing.user_turns, self._read)
         self.last_response_at = -1e9  # when the service last executed a request of this controller
 
     async def _send(
@@ -108,16 +109,13 @@
         self, key: str, request_class: RequestClass, timeout: float = READ_TIMEOUT_S
     ) -> VersionedValue | None:
         """Return a key's value and revision, or None if the key does not exist."""
-        if request_class is RequestClass.USER:
-            return await self.user_reads.get(key)
+        if request_class in MAX_WAIT_S:
+            return await self.user_reads.get(key, request_class)
         await self.pacing.wait_for_read(request_class)
         return await self._read(key, request_class, timeout)
 
-    async def _read_for_user(self, key: str) -> VersionedValue | None:
-        return await self._read(key, RequestClass.USER, READ_TIMEOUT_S)
-
     async def _read(
-        self, key: str, request_class: RequestClass, timeout: float
+        self, key: str, request_class: RequestClass, timeout: float = READ_TIMEOUT_S
     ) -> VersionedValue | None:
         path = f"{wire_names.KEYS_PATH}/{key}"
         answer = await self._send(request_class, key, (200, 404), "GET", path, timeout=timeout)
--- a/src/salthead/state_store/pacing.py
+++ b/src/salthead/state_store/pacing.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Mapping
 from dataclasses import dataclass
 
 from salthead.state_store.messages import RequestRefusedError, VersionedValue
@@ -17,8 +17,12 @@
 LEADER_READ_SHARE = 1.0 - USER_READ_SHARE
 # Of the rate of all requests, where the service permits nearly as many writes as requests.
 MIN_READ_SHARE = 0.3
-# Users wait 2 s for the status of a job, of which a question to the leader may have taken a part.
-MAX_USER_READ_WAIT_S = 1.0
+# Of the service's burst, which is worth one second: all users' reads, and those of the leader.
+USER_BURST_SHARE = 0.7
+LEADER_BURST_SHARE = 0.1
+# For the turn of a read. Users wait 2 s for the status of a job, of which a question to the leader
+# may have taken a part, and 5 s for the answer to a submission.
+MAX_WAIT_S = {RequestClass.USER: 1.0, RequestClass.SUBMISSION: 3.0}
 TOO_MANY_REQUESTS = 429
 # Of the permitted writes, which all controllers share.
 WRITE_SHARE = 0.5
@@ -29,8 +33,10 @@
 class ReadRates:
     """Reads per second that one controller may send."""
 
-    user: float  # for the answers to users
+    user: float  # for questions, submissions and cancellations of users
+    user_burst: float
     leader: float  # while it leads: for its own decisions and for loading the records
+    leader_burst: float
 
 
 def read_rates(rps: float, write_rps: float, controller_count: int) -> ReadRates:
@@ -42,28 +48,36 @@
     reads = max(rps * (1.0 - LEASE_AND_WATCH_SHARE) - write_rps, rps * MIN_READ_SHARE)
     return ReadRates(
         user=reads * USER_READ_SHARE / max(1, controller_count),
+        user_burst=rps * USER_BURST_SHARE / max(1, controller_count),
         leader=reads * LEADER_READ_SHARE,
+        leader_burst=rps * LEADER_BURST_SHARE,
     )
 
 
 class UserTurns:
     """The queue of reads for users."""
 
-    def __init__(self, queue: WaitQueue, stats: RequestStats) -> None:
+    def __init__(
+        self,
+        queue: WaitQueue,
+        stats: RequestStats,
+        max_wait_s: Mapping[RequestClass, float] = MAX_WAIT_S,
+    ) -> None:
         self.queue = queue
         self.stats = stats
+        self.max_wait_s = max_wait_s
 
     def try_acquire(self) -> bool:
         """Take a turn if there is one at once, and return whether there was."""
         return self.queue.try_acquire()
 
-    async def acquire(self) -> None:
+    async def acquire(self, request_class: RequestClass) -> None:
         """Wait for a turn; raises RequestRefusedError if it would come too late."""
         try:
-            with self.stats.while_waiting(RequestClass.USER):
-                await self.queue.acquire()
+            with self.stats.while_waiting(request_class):
+                await self.queue.acquire(self.max_wait_s[request_class])
         except QueueFullError as error:
-            self.stats.record(RequestClass.USER, RequestResult.NOT_SENT)
+            self.stats.record(request_class, RequestResult.NOT_SENT)
             raise RequestRefusedError(TOO_MANY_REQUESTS, str(error)) from None
 
 
@@ -80,9 +94,10 @@
     ) -> None:
         rates = read_rates(rps, write_rps, controller_count)
         self.stats = stats
-        self.leader_reads = TokenBucket(rates.leader, rates.leader, now)
-        user_bucket = TokenBucket(rates.user, rates.user, now)
-        self.user_turns = UserTurns(WaitQueue(user_bucket, MAX_USER_READ_WAIT_S), stats)
+        self.leader_reads = TokenBucket(rates.leader, rates.leader_burst, now)
+        self.user_turns = UserTurns(
+            WaitQueue(TokenBucket(rates.user, rates.user_burst, now)), stats
+        )
         self.writes = TokenBucket(write_rps * WRITE_SHARE, write_rps * WRITE_SHARE, now)
         # Writes of the machine registry and of done tasks have a bucket of their own, so that
         # submissions and outcomes never wait behind them.
@@ -92,8 +107,8 @@
         """Wait until a read may be sent; raises RequestRefusedError for one that comes too late."""
         if request_class is RequestClass.RECOVERY:
             self.leader_reads.take()
-        elif request_class is RequestClass.USER:
-            await self.user_turns.acquire()
+        elif request_class in MAX_WAIT_S:
+            await self.user_turns.acquire(request_class)
         elif request_class is not RequestClass.LEASE:
             await self._wait(self.leader_reads, request_class, 1)
 
@@ -111,7 +126,8 @@
                 await bucket.wait(amount)
 
 
-Read = Callable[[str], Awaitable[VersionedValue | None]]
+Read = Callable[[str, RequestClass], Awaitable[VersionedValue | None]]
+QueueKey = tuple[RequestClass, str]
 
 
 @dataclass(slots=True)
@@ -125,47 +141,49 @@
 class UserReads:
     """Single-key reads in the order of their arrival.
 
-    A read that has not been sent yet serves all callers that ask for its key meanwhile; one that
-    was sent may be older than a later question.
+    A read that has not been sent yet serves all callers of its class that ask for its key
+    meanwhile; one that was sent may be older than a later question.
     """
 
     def __init__(self, turns: UserTurns, read: Read) -> None:
         self.turns = turns
         self.read = read
-        self.queued: dict[str, _QueuedRead] = {}
+        self.queued: dict[QueueKey, _QueuedRead] = {}
 
-    async def get(self, key: str) -> VersionedValue | None:
+    async def get(self, key: str, request_class: RequestClass) -> VersionedValue | None:
         """Read a key when it is its turn.
 
         Raises RequestRefusedError if that would be too late for whoever asks.
         """
-        queued = self.queued.get(key)
+        queue_key = request_class, key
+        queued = self.queued.get(queue_key)
         if queued is None:
             if self.turns.try_acquire():
-                return await self.read(key)
-            queued = _QueuedRead(asyncio.create_task(self._read_in_turn(key)))
+                return await self.read(key, request_class)
+            queued = _QueuedRead(asyncio.create_task(self._read_in_turn(queue_key)))
             queued.task.add_done_callback(_retrieve_error)
-            self.queued[key] = queued
+            self.queued[queue_key] = queued
         queued.callers += 1
         try:
             return await asyncio.shield(queued.task)
         finally:
             queued.callers -= 1
-            if not queued.callers and self.queued.get(key) is queued:
-                del self.queued[key]
+            if not queued.callers and self.queued.get(queue_key) is queued:
+                del self.queued[queue_key]
                 queued.task.cancel()
 
-    async def _read_in_turn(self, key: str) -> VersionedValue | None:
+    async def _read_in_turn(self, queue_key: QueueKey) -> VersionedValue | None:
+        request_class, key = queue_key
         try:
-            await self.turns.acquire()
+            await self.turns.acquire(request_class)
         finally:
-            self._leave_queue(key)
-        return await self.read(key)
+            self._leave_queue(queue_key)
+        return await self.read(key, request_class)
 
-    def _leave_queue(self, key: str) -> None:
-        queued = self.queued.get(key)
+    def _leave_queue(self, queue_key: QueueKey) -> None:
+        queued = self.queued.get(queue_key)
         if queued is not None and queued.task is asyncio.current_task():
-            del self.queued[key]
+            del self.queued[queue_key]
 
 
 def _retrieve_error(task: asyncio.Task[VersionedValue | None]) -> None:
--- a/src/salthead/state_store/request_stats.py
+++ b/src/salthead/state_store/request_stats.py
@@ -22,7 +22,8 @@
     LEASE = "lease"  # leases, elections and delegations
     RECOVERY = "recovery"  # records that a new leader loads
     LEADER = "leader"  # other reads of a leader
-    USER = "user"  # reads for the answers to users
+    USER = "user"  # reads for the answers to questions of users
+    SUBMISSION = "submission"  # reads for submissions and cancellations
     WRITE = "write"
     BULK_WRITE = "bulk_write"
     WATCH = "watch"
--- a/src/salthead/transport/limits.py
+++ b/src/salthead/transport/limits.py
@@ -59,13 +59,10 @@
 
 
 class WaitQueue:
-    """Requests that wait for a token, in order, each for at most ``max_wait_s`` seconds."""
+    """Requests that wait for a token, in order, each for a limited time."""
 
-    def __init__(self, bucket: TokenBucket, max_wait_s: float) -> None:
+    def __init__(self, bucket: TokenBucket) -> None:
         self.bucket = bucket
-        self.max_wait_s = max_wait_s
-        # More could not be served before the last of them has waited for too long.
-        self.max_waiting = int(bucket.rate * max_wait_s)
         self.waiting: dict[asyncio.Future[None], None] = {}  # in order
         self._timer: asyncio.TimerHandle | None = None
 
@@ -73,17 +70,20 @@
         """Take a token if nobody waits for one, and return whether there was one."""
         return not self.waiting and self.bucket.try_acquire()
 
-    async def acquire(self) -> None:
-        """Wait for a token; raises QueueFullError at once, or after ``max_wait_s``."""
+    async def acquire(self, max_wait_s: float) -> None:
+        """Wait for a token, for at most ``max_wait_s`` seconds.
+
+        Raises QueueFullError at once if those that wait already will take that long.
+        """
         if self.try_acquire():
             return
-        if len(self.waiting) >= self.max_waiting:
+        if len(self.waiting) >= int(self.bucket.rate * max_wait_s):
             raise QueueFullError("too many reads wait")
         turn: asyncio.Future[None] = asyncio.get_running_loop().create_future()
         self.waiting[turn] = None
         self._schedule()
         try:
-            await asyncio.wait_for(turn, self.max_wait_s + TURN_SLACK_S)
+            await asyncio.wait_for(turn, max_wait_s + TURN_SLACK_S)
         except TimeoutError:
             raise QueueFullError("waited for too long") from None
         finally:
--- a/tests/test_recovery.py
+++ b/tests/test_recovery.py
@@ -7,8 +7,11 @@
 
 import pytest
 
-from helpers import LIMITS
-from questions_world import RPS, change_leader
+from builders.submissions import submission_fields
+from helpers import LIMITS, spec
+from questions_world import RPS, WRITE_RPS, change_leader
+from salthead.controller.controller import Controller
+from salthead.protocol.messages import Submission, encode
 from salthead.state_store.client import StateStore
 from salthead.state_store.messages import RequestRefusedError
 from salthead.state_store.pacing import (
@@ -21,10 +24,12 @@
 from salthead.state_store.request_stats import RequestClass, RequestStats
 from salthead.transport.client import Answer
 from salthead.transport.limits import TokenBucket, WaitQueue
-from standins import run
+from scenarios import follower_names, loaded_leader
+from standins import World, run
 
 JOBS = 400
 MAX_LOAD_S = 2.0  # the users' aim
+MAX_SUBMISSION_S = 1.0  # the users' aim
 
 
 @pytest.mark.parametrize("times_as_often", [1, 8])
@@ -53,6 +58,8 @@
     reads = controller_count * rates.user + rates.leader
     left = rps * (1.0 - LEASE_AND_WATCH_SHARE) - write_rps
     assert reads <= max(left, rps * MIN_READ_SHARE) + 1e-9
+    bursts = controller_count * rates.user_burst + rates.leader_burst
+    assert bursts <= rps * (1.0 - LEASE_AND_WATCH_SHARE) + 1e-9, "a burst is worth one second"
 
 
 class CountedReads:
@@ -61,7 +68,7 @@
     def __init__(self) -> None:
         self.keys: list[str] = []
 
-    async def __call__(self, key: str) -> Any:
+    async def __call__(self, key: str, *_: Any) -> Any:
         self.keys.append(key)
         await asyncio.sleep(0.01)
 
@@ -70,8 +77,8 @@
     loop = asyncio.get_running_loop()
     counted = CountedReads()
     bucket = TokenBucket(rate, 1.0, loop.time)
-    queue = WaitQueue(bucket, max_wait_s)
-    turns = UserTurns(queue, RequestStats(loop.time))
+    queue = WaitQueue(bucket)
+    turns = UserTurns(queue, RequestStats(loop.time), dict.fromkeys(RequestClass, max_wait_s))
     return UserReads(turns, counted), counted, queue
 
 
@@ -79,7 +86,7 @@
     async def scenario() -> list[str]:
         reads, counted, queue = user_reads(rate=10.0, max_wait_s=1.0)
         keys = ["a", "b", "c", "b", "d", "c"]
-        await asyncio.gather(*(reads.get(key) for key in keys))
+        await asyncio.gather(*(reads.get(key, RequestClass.USER) for key in keys))
         assert not reads.queued and not queue.waiting
         return counted.keys
 
@@ -90,7 +97,9 @@
     async def scenario() -> None:
         reads, _, _ = user_reads(rate=10.0, max_wait_s=0.5)
         began_at = asyncio.get_running_loop().time()
-        questions = [asyncio.create_task(reads.get(f"key-{n}")) for n in range(20)]
+        questions = [
+            asyncio.create_task(reads.get(f"key-{n}", RequestClass.USER)) for n in range(20)
+        ]
         results = await asyncio.gather(*questions, return_exceptions=True)
         assert sum(isinstance(result, RequestRefusedError) for result in results) == 14
         assert asyncio.get_running_loop().time() - began_at <= 0.6
@@ -101,9 +110,9 @@
 def test_a_question_leaves_the_queue_when_whoever_asked_has_given_up() -> None:
     async def scenario() -> list[str]:
         reads, counted, queue = user_reads(rate=1.0, max_wait_s=5.0)
-        await reads.get("first")
-        given_up = asyncio.create_task(reads.get("given up"))
-        kept = asyncio.create_task(reads.get("kept"))
+        await reads.get("first", RequestClass.USER)
+        given_up = asyncio.create_task(reads.get("given up", RequestClass.USER))
+        kept = asyncio.create_task(reads.get("kept", RequestClass.USER))
         await asyncio.sleep(0.1)
         given_up.cancel()
         await kept
@@ -119,13 +128,13 @@
         errors: list[Any] = []
         asyncio.get_running_loop().set_exception_handler(lambda _, found: errors.append(found))
         for n in range(200):
-            question = asyncio.create_task(reads.get(f"key-{n % 7}"))
+            question = asyncio.create_task(reads.get(f"key-{n % 7}", RequestClass.USER))
             question.add_done_callback(lambda done: done.cancelled() or done.exception())
             asyncio.get_running_loop().call_later(0.011 * (n % 50), question.cancel)
             await asyncio.sleep(0.013)
         await asyncio.sleep(1.0)
         assert not queue.waiting and not reads.queued and not errors
-        await reads.get("last")
+        await reads.get("last", RequestClass.USER)
 
     run(scenario)
 
@@ -172,9 +181,9 @@
 def test_a_turn_whose_caller_has_left_is_skipped() -> None:
     async def scenario() -> None:
         loop = asyncio.get_running_loop()
-        queue = WaitQueue(TokenBucket(10.0, 2.0, loop.time), max_wait_s=1.0)
+        queue = WaitQueue(TokenBucket(10.0, 2.0, loop.time))
         assert queue.try_acquire() and queue.try_acquire()
-        left, kept = (asyncio.create_task(queue.acquire()) for _ in range(2))
+        left, kept = (asyncio.create_task(queue.acquire(1.0)) for _ in range(2))
         await asyncio.sleep(0.05)
         next(iter(queue.waiting)).cancel()
         loop.clock += 0.2  # type: ignore[attr-defined]
@@ -183,3 +192,58 @@
         assert left.cancelled() and kept.exception() is None
 
     run(scenario)
+
+
+def test_a_submission_is_not_refused_while_it_can_wait_longer_than_a_question() -> None:
+    async def scenario() -> None:
+        loop = asyncio.get_running_loop()
+        queue = WaitQueue(TokenBucket(10.0, 1.0, loop.time))
+        turns = UserTurns(queue, RequestStats(loop.time))
+        reads = UserReads(turns, CountedReads())
+        questions = [
+            asyncio.create_task(reads.get(f"question-{n}", RequestClass.USER)) for n in range(30)
+        ]
+        lookups = [
+            asyncio.create_task(reads.get(f"lookup-{n}", RequestClass.SUBMISSION))
+            for n in range(15)
+        ]
+        results = await asyncio.gather(*questions, *lookups, return_exceptions=True)
+        refused = [isinstance(result, RequestRefusedError) for result in results]
+        assert sum(refused[:30]) == 19, "one at once, and ten within a second"
+        assert not any(refused[30:])
+
+    run(scenario)
+
+
+def test_submissions_that_depend_on_others_are_answered_within_a_second() -> None:
+    async def scenario() -> list[tuple[int, float]]:
+        world = World(seed=2, rps=RPS, write_rps=WRITE_RPS)
+        leader = await loaded_leader(world)
+        accepting, asked = (world.controllers[name] for name in follower_names(world, leader))
+        assert accepting is not None and asked is not None
+        for n in range(6):
+            chained = spec(f"req-{n}", depends_on=[f"req-{n - 1}"] if n else None)
+            await submit_to(world, accepting, chained)
+        began_at = world.now()
+
+        async def submit(n: int) -> tuple[int, float]:
+            status = await submit_to(world, asked, spec(f"req-1{n}", depends_on=["req-5"]))
+            return status, world.now() - began_at
+
+        return await asyncio.gather(*(submit(n) for n in range(4)))
+
+    answers = run(scenario)
+    assert [status for status, _ in answers] == [201] * 4
+    assert max(took_s for _, took_s in answers) <= MAX_SUBMISSION_S
+
+
+async def submit_to(world: World, controller: Controller, job: Submission) -> int:
+    """Submit a job to one controller and return the status of its answer."""
+    world.specs[job.job_id] = job
+    try:
+        status, _ = await world.version_of(controller).submit(
+            controller, encode(submission_fields(job))
+        )
+    except world.version_of(controller).undecided_errors:
+        return 503
+    return int(status)
