--- a/tests/scenarios.py
+++ b/tests/scenarios.py
@@ -47,3 +47,9 @@
     task = asyncio.create_task(work)
     world.pending.add(task)
     task.add_done_callback(world.pending.discard)
+
+
+async def boot_later(world: World, name: str, after_s: float) -> None:
+    """Start a controller after a while."""
+    await asyncio.sleep(after_s)
+    world.boot(name)
