--- a/src/salthead/cluster/ledger.py
+++ b/src/salthead/cluster/ledger.py
@@ -174,9 +174,13 @@
         """Return how many machines that are up have a recent heartbeat, and how many do not."""
         up = [m for m in self.machines.values() if m.phase == UP]
         cutoff = now - OVERDUE_HEARTBEAT_INTERVALS * self.limits.workers.heartbeat_interval_s
-        on_time = sum(1 for m in up if m.last_heartbeat_at >= cutoff)
+        on_time = sum(1 for m in up if self._heard_at(m) >= cutoff)
         return on_time, len(up) - on_time
 
+    def _heard_at(self, machine: Machine) -> float:
+        """Return when a machine was last heard; before the records are loaded, in any heartbeat."""
+        return machine.last_heartbeat_at if self.loaded else machine.links.last_received_at
+
     # -- jobs -----------------------------------------------------------------------------
 
     def run_s(self, job: Job) -> float:
--- a/src/salthead/controller/context.py
+++ b/src/salthead/controller/context.py
@@ -54,7 +54,8 @@
     def _connect_state_store(self, dial: Callable[[str, int], HttpClient]) -> StateStore:
         limits = self.state_limits
         endpoint = self.settings.endpoints.state
-        return StateStore(endpoint, limits.rps, limits.write_rps, self.now, dial)
+        controller_count = max(self.limits.initial_size, len(self.settings.seeds) + 1)
+        return StateStore(endpoint, limits.rps, limits.write_rps, self.now, dial, controller_count)
 
     def log_throttled(self, kind: str, error: object) -> None:
         """Count an error, and log at most one of its kind per ``LOG_THROTTLE_S`` seconds."""
--- a/src/salthead/controller/handlers.py
+++ b/src/salthead/controller/handlers.py
@@ -6,12 +6,14 @@
 
 from __future__ import annotations
 
+import asyncio
 import logging
 from collections.abc import Awaitable, Callable
 from http import HTTPStatus
 
 from salthead import metrics
 from salthead.controller.controller import Controller
+from salthead.controller.job_status import STATUS_TIMEOUT_S
 from salthead.errors import InvalidJobError, UnavailableError
 from salthead.event_log import event
 from salthead.leader.term import Term
@@ -46,6 +48,8 @@
     ConflictError,
 )
 MAX_ERROR_CHARS = 200
+# A user waits 2 s for the status of a job.
+USER_POLL_DEADLINE_S = 1.8
 METRICS_CONTENT_TYPE = "text/plain; version=0.0.4"
 
 StatusLookup = Callable[[str], Awaitable[JobStatus | None]]
@@ -55,6 +59,15 @@
     return Reply(status, ErrorAnswer(str(reason)[:MAX_ERROR_CHARS]))
 
 
+async def _poll_reply(job_id: str, lookup: StatusLookup, deadline_s: float) -> Reply:
+    """Answer a question by a lookup that ends when whoever asks has given up."""
+    try:
+        async with asyncio.timeout(deadline_s):
+            return await _job_reply(job_id, lookup)
+    except TimeoutError:
+        return _error_reply(HTTPStatus.SERVICE_UNAVAILABLE, "not known in time")
+
+
 async def _job_reply(job_id: str, lookup: StatusLookup) -> Reply:
     """Return the answer for one job: its status, 404 if it is unknown, or 503."""
     if not JOB_ID.match(job_id):
@@ -142,7 +155,7 @@
         status = self.controller.job_status.from_memory(request.parameter)
         if status is not None:
             return Reply(HTTPStatus.OK, status)
-        return _job_reply(request.parameter, self.controller.job_status.poll)
+        return _poll_reply(request.parameter, self.controller.job_status.poll, USER_POLL_DEADLINE_S)
 
     async def cancel(self, request: Request) -> Reply:
         """Handle POST /work/ID/cancel."""
@@ -200,7 +213,7 @@
         status = self.controller.job_status.from_term(term, job_id)
         if status is not None:
             return Reply(HTTPStatus.OK, status)
-        return _job_reply(job_id, self.controller.job_reader.read_status)
+        return _poll_reply(job_id, self.controller.job_reader.read_status, STATUS_TIMEOUT_S)
 
     @staticmethod
     def _cancel(term: Term, job_id: str) -> Awaitable[Reply]:
--- a/src/salthead/leader/record_reader.py
+++ b/src/salthead/leader/record_reader.py
@@ -8,12 +8,14 @@
 from salthead import metrics
 from salthead.event_log import event
 from salthead.leader.context import TermContext
+from salthead.state_store.errors import RETRYABLE_ERRORS
 from salthead.state_store.listing import Listing
 from salthead.state_store.request_stats import RequestClass
 
 log = logging.getLogger(__name__)
 
 EXPECTED_LOAD_S = 2.0
+PAGE_RETRY_S = 0.2
 
 
 class RecordReader:
@@ -29,7 +31,7 @@
         began_at = self.context.now()
         listing = Listing(prefix)
         while not listing.complete:
-            await self.context.state_store.read_page(listing, RequestClass.RECOVERY)
+            await self._read_page(listing)
         event(
             log,
             "records_read",
@@ -43,6 +45,16 @@
         )
         return listing
 
+    async def _read_page(self, listing: Listing) -> None:
+        """Read the next page, again after an error; what was read before stays."""
+        while True:
+            try:
+                await self.context.state_store.read_page(listing, RequestClass.RECOVERY)
+                return
+            except RETRYABLE_ERRORS as error:
+                self.context.log_throttled("load", error)
+                await self.context.sleep_with_jitter(PAGE_RETRY_S)
+
     async def report_slow_loop(self) -> None:
         """Report at intervals that the load takes longer than expected, until cancelled."""
         began_at = self.context.now()
--- a/src/salthead/state_store/client.py
+++ b/src/salthead/state_store/client.py
@@ -2,7 +2,8 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Sequence
+from collections.abc import Callable, Iterator, Sequence
+from contextlib import contextmanager
 from typing import Any
 
 from salthead.protocol import wire_names
@@ -21,13 +22,20 @@
     VersionedValue,
     required_int,
 )
+from salthead.state_store.request_limits import read_rates
 from salthead.state_store.request_stats import RequestClass, RequestResult, RequestStats
+from salthead.state_store.user_reads import UserReads
 from salthead.transport.client import Answer, HttpClient, UnansweredError
 from salthead.transport.limits import TokenBucket
+from salthead.transport.wait_queue import QueueFullError, WaitQueue
 
+READ_TIMEOUT_S = 1.5
 LIST_TIMEOUT_S = 3.0
 REVOKE_TIMEOUT_S = 1.0
 WATCH_GRACE_S = 2.0  # for the answer, after the time that the service was asked to wait
+# Users wait 2 s for the status of a job, of which a question to the leader may have taken a part.
+MAX_USER_READ_WAIT_S = 1.0
+TOO_MANY_REQUESTS = 429
 
 
 class StateStore:
@@ -44,15 +52,21 @@
         write_rps: float,
         now: Callable[[], float],
         dial: Callable[[str, int], HttpClient] = HttpClient,
+        controller_count: int = 1,
     ) -> None:
-        # Lease calls have their own connections and wait for no token bucket, so that they never
-        # queue behind bulk requests.
+        """Create the client of one of ``controller_count`` controllers.
+
+        ``rps`` and ``write_rps`` are the service's limits, which all controllers share.
+        """
+        # For leases and recovery, which wait neither for a token nor behind other requests.
         self.urgent = dial(endpoint, self.URGENT)
         self.bulk = dial(endpoint, self.BULK)
         self.watches = dial(endpoint, self.WATCHES)
-        # About half of the service's limits, which all controllers share, is left for the other
-        # controllers and for lease calls.
-        self.reads = TokenBucket(rps * 0.4, rps * 0.3, now)
+        rates = read_rates(rps, write_rps, controller_count)
+        self.leader_reads = TokenBucket(rates.leader, rates.leader, now)
+        user_bucket = TokenBucket(rates.user, rates.user, now)
+        self.user_queue = WaitQueue(user_bucket, MAX_USER_READ_WAIT_S)
+        self.user_reads = UserReads(self.user_queue, self._read_for_user)
         self.writes = TokenBucket(write_rps * 0.5, write_rps * 0.5, now)
         # Writes of the machine registry and of done tasks have a bucket of their own, so that
         # submissions and outcomes never wait behind them.
@@ -91,13 +105,28 @@
         return answer
 
     def _client_of(self, request_class: RequestClass) -> HttpClient:
-        if request_class is RequestClass.LEASE:
+        if request_class in (RequestClass.LEASE, RequestClass.RECOVERY):
             return self.urgent
         return self.watches if request_class is RequestClass.WATCH else self.bulk
 
     async def _wait_for_read(self, request_class: RequestClass) -> None:
-        if request_class is not RequestClass.LEASE:
-            await self._wait(self.reads, request_class, 1)
+        if request_class is RequestClass.RECOVERY:
+            self.leader_reads.take()
+        elif request_class is RequestClass.USER:
+            with self._as_user_request("list"):
+                await self.user_queue.acquire()
+        elif request_class is not RequestClass.LEASE:
+            await self._wait(self.leader_reads, request_class, 1)
+
+    @contextmanager
+    def _as_user_request(self, operation: str) -> Iterator[None]:
+        """Count a request as waiting, and refuse it if its turn would come too late."""
+        try:
+            with self.stats.while_waiting(RequestClass.USER):
+                yield
+        except QueueFullError:
+            self.stats.record(RequestClass.USER, RequestResult.NOT_SENT)
+            raise RequestRefusedError(TOO_MANY_REQUESTS, operation) from None
 
     async def _wait_for_write(self, request_class: RequestClass, change_count: int) -> None:
         if request_class is RequestClass.LEASE:
@@ -112,10 +141,21 @@
                 await bucket.wait(amount)
 
     async def get(
-        self, key: str, request_class: RequestClass, timeout: float = 1.5
+        self, key: str, request_class: RequestClass, timeout: float = READ_TIMEOUT_S
     ) -> VersionedValue | None:
         """Return a key's value and revision, or None if the key does not exist."""
+        if request_class is RequestClass.USER:
+            with self._as_user_request(key):
+                return await self.user_reads.get(key)
         await self._wait_for_read(request_class)
+        return await self._read(key, request_class, timeout)
+
+    async def _read_for_user(self, key: str) -> VersionedValue | None:
+        return await self._read(key, RequestClass.USER, READ_TIMEOUT_S)
+
+    async def _read(
+        self, key: str, request_class: RequestClass, timeout: float
+    ) -> VersionedValue | None:
         path = f"{wire_names.KEYS_PATH}/{key}"
         answer = await self._send(request_class, key, (200, 404), "GET", path, timeout=timeout)
         if answer.status == 404:
--- a/src/salthead/state_store/request_stats.py
+++ b/src/salthead/state_store/request_stats.py
@@ -34,6 +34,7 @@
     ANSWERED = "answered"
     REFUSED = "refused"
     UNANSWERED = "unanswered"
+    NOT_SENT = "not_sent"  # its turn would have come too late
 
 
 class RequestStats:
--- a/src/salthead/transport/limits.py
+++ b/src/salthead/transport/limits.py
@@ -29,6 +29,11 @@
         self.tokens -= amount
         return True
 
+    def take(self, amount: float = 1.0) -> None:
+        """Take tokens at once; if there are too few, later requests wait for the refill."""
+        self._refill()
+        self.tokens -= amount
+
     def delay_s(self, amount: float = 1.0) -> float:
         """Return the time until there are enough tokens, in seconds."""
         self._refill()
--- a/tests/standins/fake_loop.py
+++ b/tests/standins/fake_loop.py
@@ -47,7 +47,8 @@
         tasks = asyncio.all_tasks(loop)
         for task in tasks:
             task.cancel()
-        loop.run_until_complete(
-            asyncio.wait_for(asyncio.gather(*tasks, return_exceptions=True), CANCEL_WITHIN_S)
-        )
+        if tasks:  # without any, the future of gather would belong to no running loop
+            loop.run_until_complete(
+                asyncio.wait_for(asyncio.gather(*tasks, return_exceptions=True), CANCEL_WITHIN_S)
+            )
         loop.close()
--- a/tests/test_ledger.py
+++ b/tests/test_ledger.py
@@ -233,6 +233,15 @@
         assert led.jobs["req-1"].bindings
 
 
+    def test_a_leader_without_records_counts_a_machine_as_heard_by_any_heartbeat(self) -> None:
+        led = ledger()
+        led.loaded = False
+        for name in ("m1", "m2"):
+            led.add_machine(name, "small", "north", False, 0.0, registered=True)
+        handle_heartbeat(led, heartbeat("m1", 9, fencing_token=6), 100.0)
+        assert led.count_responsive_machines(101.0) == (1, 1)
+
+
 class TestStrays:
     def test_a_stray_of_an_ended_job_is_stopped_and_holds_quota(self) -> None:
         led = ready()
--- /dev/null
+++ b/tests/test_recovery.py
@@ -0,0 +1,107 @@
+"""A new leader loads the records, whatever users ask meanwhile."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import Any
+
+import pytest
+
+from helpers import LIMITS
+from questions_world import RPS, change_leader
+from salthead.state_store.request_limits import (
+    LEASE_AND_WATCH_SHARE,
+    MIN_READ_SHARE,
+    read_rates,
+)
+from salthead.state_store.user_reads import UserReads
+from salthead.transport.limits import TokenBucket
+from salthead.transport.wait_queue import QueueFullError, WaitQueue
+from standins import run
+
+JOBS = 400
+MAX_LOAD_S = 2.0  # the users' aim
+
+
+@pytest.mark.parametrize("times_as_often", [1, 8])
+def test_recovery_does_not_wait_behind_questions(
+    monkeypatch: pytest.MonkeyPatch, times_as_often: int
+) -> None:
+    for name, seconds in (("report_s", 1.0), ("lease_s", 11.0), ("cancel_s", 36.0)):
+        monkeypatch.setitem(LIMITS["workers"], name, seconds)
+    world = run(lambda: change_leader(JOBS, times_as_often, watched_s=16.0))
+    assert world.recovery.load_s <= MAX_LOAD_S
+    assert world.recovery.refused_leadership == 0
+    assert world.recovery.lost_leases == 0
+    assert world.recovery.answers["unanswered"] == 0
+    assert max(world.recovery.sent.values()) <= 2 * RPS, "the rate, and one second's burst"
+    assert world.broken == []
+
+
+@pytest.mark.parametrize("controller_count", [1, 2, 3, 5, 9])
+@pytest.mark.parametrize(
+    ("rps", "write_rps"), [(60.0, 20.0), (120.0, 20.0), (150.0, 25.0), (250.0, 70.0), (20.0, 19.0)]
+)
+def test_the_reads_of_all_controllers_stay_within_the_rate(
+    rps: float, write_rps: float, controller_count: int
+) -> None:
+    rates = read_rates(rps, write_rps, controller_count)
+    reads = controller_count * rates.user + rates.leader
+    left = rps * (1.0 - LEASE_AND_WATCH_SHARE) - write_rps
+    assert reads <= max(left, rps * MIN_READ_SHARE) + 1e-9
+
+
+class CountedReads:
+    """A read that counts how often each key is read."""
+
+    def __init__(self) -> None:
+        self.keys: list[str] = []
+
+    async def __call__(self, key: str) -> Any:
+        self.keys.append(key)
+        await asyncio.sleep(0.01)
+
+
+def user_reads(rate: float, max_wait_s: float) -> tuple[UserReads, CountedReads]:
+    loop = asyncio.get_running_loop()
+    counted = CountedReads()
+    bucket = TokenBucket(rate, 1.0, loop.time)
+    return UserReads(WaitQueue(bucket, max_wait_s), counted), counted
+
+
+def test_reads_are_served_in_order_and_one_for_several_questions() -> None:
+    async def scenario() -> list[str]:
+        reads, counted = user_reads(rate=10.0, max_wait_s=1.0)
+        keys = ["a", "b", "c", "b", "d", "c"]
+        await asyncio.gather(*(reads.get(key) for key in keys))
+        assert not reads.queued and not reads.queue.waiting
+        return counted.keys
+
+    assert run(scenario) == ["a", "b", "c", "d"]
+
+
+def test_a_question_beyond_the_bound_is_refused_at_once() -> None:
+    async def scenario() -> None:
+        reads, _ = user_reads(rate=10.0, max_wait_s=0.5)
+        began_at = asyncio.get_running_loop().time()
+        questions = [asyncio.create_task(reads.get(f"key-{n}")) for n in range(20)]
+        results = await asyncio.gather(*questions, return_exceptions=True)
+        assert sum(isinstance(result, QueueFullError) for result in results) == 14
+        assert asyncio.get_running_loop().time() - began_at <= 0.6
+
+    run(scenario)
+
+
+def test_a_question_leaves_the_queue_when_whoever_asked_has_given_up() -> None:
+    async def scenario() -> list[str]:
+        reads, counted = user_reads(rate=1.0, max_wait_s=5.0)
+        await reads.get("first")
+        given_up = asyncio.create_task(reads.get("given up"))
+        kept = asyncio.create_task(reads.get("kept"))
+        await asyncio.sleep(0.1)
+        given_up.cancel()
+        await kept
+        assert not reads.queue.waiting
+        return counted.keys
+
+    assert run(scenario) == ["first", "kept"]
