--- a/review/lib2/machines.py
+++ b/review/lib2/machines.py
@@ -1,6 +1,6 @@
 """Stand-ins for the cloud and the workers, as PROTOCOL describes them.
 
-Workers run arrays, and gangs whose tasks wait for each other; they save no checkpoints.
+Workers run arrays and gangs; tasks save no checkpoints.
 """
 
 from __future__ import annotations
@@ -30,6 +30,9 @@
         self.renewed_at = 0.0  # sending of the last answered report, or begin of the session
         self.changed = asyncio.Event()
         self.node = 0
+        self.hung = False  # does nothing; messages to it wait
+        self.deaf = False  # answers and direct commands do not reach it
+        self.mute = False  # it reaches no controller
         self.links: dict[int, Link] = {}
         self.server = Server(self.serve)
         self.loops: list[asyncio.Task[None]] = [asyncio.ensure_future(self.live())]
@@ -80,12 +83,23 @@
     async def report_loop(self) -> None:
         interval = self.fleet.timings["report_s"]
         while True:
+            while self.hung or self.mute:
+                await asyncio.sleep(STEP_S)
+            self.check_lease()
             sent_at, tenure = time.monotonic(), self.tenure
             link = self.links.setdefault(self.node, Link(self.fleet.nodes[self.node]))
             try:
                 status, body = await link.call("POST", "/hello", self.report(), ANSWER_WITHIN_S)
             except Unanswered:
                 status, body = 0, {}
+            if self.deaf:
+                await asyncio.sleep(max(0.0, sent_at + ANSWER_WITHIN_S - time.monotonic()))
+                status, body = 0, {}
+            while self.hung:
+                await asyncio.sleep(STEP_S)
+            self.check_lease()
+            if time.monotonic() - sent_at > ANSWER_WITHIN_S + 0.1:
+                status, body = 0, {}
             if status == 200:
                 if tenure == self.tenure and body.get("baton", -1) >= self.baton:
                     self.take_token(body["baton"])
@@ -130,6 +144,11 @@
     async def serve(
         self, method: str, path: str, query: dict[str, str], body: Any
     ) -> Answer | None:
+        while self.hung:
+            await asyncio.sleep(STEP_S)
+        self.check_lease()
+        if self.deaf or self.gone:
+            return None
         if path == "/show":
             return 200, self.report()
         if body.get("baton") is None or body.get("tenure") is None:
@@ -179,20 +198,26 @@
         self.tasks[key] = {"phase": "exited", "cause": cause}
         self.changed.set()
 
+    def check_lease(self) -> None:
+        now = time.monotonic()
+        if now - self.renewed_at > self.fleet.timings["lease_s"]:
+            for key in list(self.tasks):
+                self.leave(key, "the lease ended")
+            self.tasks.clear()
+            self.tenure += 1
+            self.renewed_at = now
+            self.changed.set()
+            self.fleet.on_session(self)
+
     async def run_loop(self) -> None:
         last = time.monotonic()
         while True:
             await asyncio.sleep(STEP_S)
             now = time.monotonic()
             step, last = now - last, now
-            if now - self.renewed_at > self.fleet.timings["lease_s"]:
-                for key in list(self.tasks):
-                    self.leave(key, "the lease ended")
-                self.tasks.clear()
-                self.tenure += 1
-                self.renewed_at = now
-                self.changed.set()
-                self.fleet.on_session(self)
+            self.check_lease()  # a machine that hangs goes on within its lease or not at all
+            if self.hung:
+                continue
             for key, task in list(self.tasks.items()):
                 if task["phase"] == "fetching":
                     task["fetch"] -= step
@@ -202,16 +227,35 @@
                         task["phase"] = "gathering" if job["shape"] == "gang" else "running"
                         self.fleet.on_task("on", self, key, task["phase"])
                         self.changed.set()
-                elif task["phase"] == "gathering":
-                    if self.fleet.gang_is_there(key):
-                        task["phase"] = "running"
-                        self.changed.set()
+                elif self.fleet.jobs[key[0].rpartition("/")[0]]["shape"] == "gang":
+                    if task["phase"] in ("gathering", "running"):
+                        self.run_gang_task(key, task, step)
                 elif task["phase"] == "running":
                     task["left"] -= step
                     if task["left"] <= 0:
                         self.fleet.done.add(key[0])
                         self.exit(key, "done")
 
+    def run_gang_task(self, key: tuple[str, int], task: dict[str, Any], step: float) -> None:
+        """Advance a gang's task: they run together, and all are done when one is."""
+        others = self.fleet.gang(key)
+        if len(others) == self.fleet.jobs[key[0].rpartition("/")[0]]["pieces"]:
+            if task["phase"] == "gathering":
+                task["phase"] = "running"
+                self.changed.set()
+            task["apart"] = 0.0
+            task["left"] -= step
+            if task["left"] <= 0:
+                for worker, other in others:
+                    self.fleet.done.add(other[0])
+                    worker.exit(other, "done")
+            return
+        task["apart"] = task.get("apart", 0.0) + step
+        if task["phase"] == "running" and task["apart"] > self.fleet.timings["gang_peer_s"]:
+            self.exit(key, "mates_gone")
+        elif task["apart"] > self.fleet.timings["gang_wait_s"]:
+            self.exit(key, "alone")
+
 
 class Fleet:
     """The cloud, its machines, and what they run."""
@@ -239,17 +283,18 @@
         self.on_session: Callable[[Worker], None] = lambda _: None
         self.snapshots: list[tuple[float, list[dict[str, Any]]]] = []
 
-    def gang_is_there(self, key: tuple[str, int]) -> bool:
+    def gang(self, key: tuple[str, int]) -> list[tuple[Worker, tuple[str, int]]]:
+        """Return the tasks of this gang and attempt that are ready or run, with their workers."""
         job_id = key[0].rpartition("/")[0]
-        ready = {
-            piece
+        return [
+            (worker, other)
             for worker in self.workers.values()
-            for (piece, attempt), task in worker.tasks.items()
-            if attempt == key[1]
-            and piece.startswith(job_id + "/")
+            if not worker.hung
+            for other, task in worker.tasks.items()
+            if other[1] == key[1]
+            and other[0].startswith(job_id + "/")
             and task["phase"] in ("gathering", "running")
-        }
-        return len(ready) == self.jobs[job_id]["pieces"]
+        ]
 
     async def snapshot_loop(self) -> None:
         """Keep the list as it was, since the list that the cloud answers with lags."""
