Review case 5: a repeated submission is refused after the upgrade

Cause: a submission is checked for missing fields before it is known whether the job was accepted, and the version in production asks for fewer fields.

--- a/review/lib2/scene.py
+++ b/review/lib2/scene.py
@@ -105,8 +105,6 @@
     # -- processes
 
     async def __aenter__(self) -> Scene:
-        deploy = tomllib.loads((ROOT / "deploy/service.toml").read_text())
-        self.command = shlex.split(deploy["run"])
         if not (ROOT / "target/deps").is_dir() or not (ROOT / "target/app").is_dir():
             raise CannotRun("run the build of deploy/service.toml first")
         self.temporary = tempfile.TemporaryDirectory()
@@ -164,17 +162,19 @@
             lines += [f"{k} = {v}" for k, v in self.site["state_next"].items()]
         return "\n".join(lines) + "\n"
 
-    def start(self, member: str) -> None:
-        """Start a controller with the run line of the deploy file."""
+    def start(self, member: str, root: Path = ROOT) -> None:
+        """Start a controller of the version in ``root`` with the run line of its deploy file."""
+        deploy = tomllib.loads((root / "deploy/service.toml").read_text())
+        command = shlex.split(deploy["run"])
         path = Path(self.temporary.name) / f"{member}.toml"
         path.write_text(self._settings(member))
         log = (Path(self.temporary.name) / f"{member}.log").open("ab")
-        program = [sys.executable if self.command[0] == "python3" else self.command[0]]
+        program = [sys.executable if command[0] == "python3" else command[0]]
         environment = {k: v for k, v in os.environ.items() if k != "PYTHONPATH"}
         environment["LOG_LEVEL"] = os.environ.get("LOG_LEVEL", "info")
         self.processes[member] = subprocess.Popen(
-            [*program, *self.command[1:], str(path)],
-            cwd=ROOT,
+            [*program, *command[1:], str(path)],
+            cwd=root,
             stdin=subprocess.DEVNULL,
             stdout=log,
             stderr=log,
@@ -207,10 +207,10 @@
                     raise CannotRun(f"{member} ended with {process.returncode}")
             await asyncio.sleep(0.02)
 
-    async def start_all(self) -> str:
+    async def start_all(self, root: Path = ROOT) -> str:
         """Start all controllers; return the leader once all are healthy."""
         for member in MEMBERS:
-            self.start(member)
+            self.start(member, root)
         await self.until("a leader", lambda: self.leader() is not None, 20.0)
         for member in MEMBERS:
             await self.healthy(member)
@@ -276,6 +276,7 @@
         await self.fleet.end()
         for server in self.servers:
             await server.stop()
+        await asyncio.sleep(0.1)  # connections that were closed last are gone by then
         keep = os.environ.get("KEEP_LOGS")
         for member in MEMBERS:
             path = Path(self.temporary.name) / f"{member}.log"
