--- a/review/lib2/machines.py
+++ b/review/lib2/machines.py
@@ -6,6 +6,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import time
 from collections.abc import Callable
 from typing import Any
@@ -82,7 +83,7 @@
 
     async def report_loop(self) -> None:
         interval = self.fleet.timings["report_s"]
-        while True:
+        while not self.gone:
             while self.hung or self.mute:
                 await asyncio.sleep(STEP_S)
             self.check_lease()
@@ -107,10 +108,9 @@
                     self.obey(body.get("orders") or [])
                 await asyncio.sleep(MIN_REPORT_S)
                 wait_s = interval * self.fleet.rng.uniform(0.75, 1.25) - MIN_REPORT_S
-                try:
-                    await asyncio.wait_for(self.changed.wait(), max(0.01, wait_s))
-                except TimeoutError:
-                    pass
+                with contextlib.suppress(TimeoutError):
+                    async with asyncio.timeout(max(0.01, wait_s)):
+                        await self.changed.wait()
                 self.changed.clear()
                 continue
             link.close()
--- a/review/lib2/scene.py
+++ b/review/lib2/scene.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import contextlib
+import gc
 import os
 import random
 import shlex
@@ -276,7 +277,8 @@
         await self.fleet.end()
         for server in self.servers:
             await server.stop()
-        await asyncio.sleep(0.1)  # connections that were closed last are gone by then
+        gc.collect()  # connections that were opened last are closed while the loop still runs
+        await asyncio.sleep(0.1)
         keep = os.environ.get("KEEP_LOGS")
         for member in MEMBERS:
             path = Path(self.temporary.name) / f"{member}.log"
@@ -372,4 +374,9 @@
         print(verdict)
         return 1 if scene.broken else 0
 
-    sys.exit(asyncio.run(main()))
+    async def play_and_exit() -> None:
+        code = await main()
+        sys.stdout.flush()
+        os._exit(code)  # nothing that is left in this process can hold it up
+
+    asyncio.run(play_and_exit())
--- a/review/lib2/state.py
+++ b/review/lib2/state.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import json
 import time
 from collections.abc import Callable
@@ -250,8 +251,6 @@
                     return 200, {"epoch": self.epoch, "log": found}
             else:
                 left = 0.1
-            async with self.changed:
-                try:
-                    await asyncio.wait_for(self.changed.wait(), min(left, 0.25))
-                except TimeoutError:
-                    pass
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(min(left, 0.25)), self.changed:
+                    await self.changed.wait()
