Refuse a job's record that was read before the job ended

Cause: JobRecords.resolve read a job's record, awaited the answer and added the job to the ledger. It is called for unknown dependencies, and for jobs whose list of dependencies takes several values. The other paths that add a job had a check of their own, which rested on a cache of a set size.

Change: JobTable.add, through which each job enters the ledger, refuses one that ended in this term. EndedJobs evicts none that ended during a read of records that is still in progress; JobRecords.reading marks these reads, and add_job is the only way from a record to the ledger. A submission's write counts as such a read; a controller whose term began during it learns of the job by its watch. Of a watch, only records that the same answer does not remove again count. A record in several values that the ledger knows already is not read again. Event record_outdated. JobRecords is divided into shorter methods.

--- a/src/salthead/cluster/job_table.py
+++ b/src/salthead/cluster/job_table.py
@@ -5,9 +5,10 @@
 import logging
 from collections.abc import Iterable
 
+from salthead.cluster.ended_jobs import EndedJobs
 from salthead.cluster.estimates import Arrivals, Estimates
 from salthead.cluster.events import LedgerEvents
-from salthead.cluster.machine_registry import REMEMBERED_FLEET_SIZES, MachineRegistry
+from salthead.cluster.machine_registry import MachineRegistry
 from salthead.cluster.model import Job
 from salthead.cluster.resources import EPSILON, Resources
 from salthead.event_log import event
@@ -17,10 +18,6 @@
 
 log = logging.getLogger(__name__)
 
-# Minimum number of ended jobs whose team and request are remembered, for their orphan tasks.
-# A larger fleet raises it.
-MIN_REMEMBERED_JOBS = 5000
-
 
 class JobTable:
     """Jobs by id; the only code that adds and forgets jobs and marks their tasks as done."""
@@ -38,12 +35,19 @@
         self.ready_jobs: dict[str, Job] = {}
         # Machine types that were the only fitting ones for some job of this term.
         self.scarce_types: set[int] = set()
-        self.ended_jobs: dict[str, tuple[int, Resources]] = {}  # team and request by job id
+        self.ended_jobs = EndedJobs(registry)
 
     def add(
         self, spec: Submission, now: float, submitted_at: float, accepted_this_term: bool
     ) -> Job | None:
-        """Add an accepted job; return None if the settings lack its team."""
+        """Add an accepted job; return None if it has ended, or if the settings lack its team.
+
+        Each way of learning of a job ends here. A record can be outdated by the time it is applied,
+        since the job may have ended after it was read.
+        """
+        if spec.job_id in self.ended_jobs:
+            event(log, "record_outdated", job=spec.job_id)
+            return None
         team = self.team_names.get(spec.team)
         if team is None:
             event(log, "team_unknown", logging.WARNING, job=spec.job_id, team=spec.team)
@@ -120,11 +124,6 @@
     def forget(self, job: Job) -> None:
         """Remove a job that has ended and has no bound task; remember its team and request."""
         if job.terminal_phase and not job.bindings and self.jobs.get(job.job_id) is job:
-            self.ended_jobs[job.job_id] = (job.team, job.request)
-            max_remembered = max(
-                MIN_REMEMBERED_JOBS, REMEMBERED_FLEET_SIZES * self.registry.largest_fleet
-            )
-            if len(self.ended_jobs) > max_remembered:
-                self.ended_jobs.pop(next(iter(self.ended_jobs)))
+            self.ended_jobs.add(job.job_id, job.team, job.request)
             del self.jobs[job.job_id]
             self.ready_jobs.pop(job.job_id, None)
--- a/src/salthead/cluster/ledger.py
+++ b/src/salthead/cluster/ledger.py
@@ -186,7 +186,10 @@
         return self.estimates.run_s(job.spec.job_class, job.spec.estimated_run_s)
 
     def add_job(self, spec: Submission, now: float, accepted_this_term: bool = False) -> Job | None:
-        """Return the ledger's job, added if it is new, or None if the settings lack its team."""
+        """Return the ledger's job, added if it is new.
+
+        None if the job has ended, or if the settings lack its team.
+        """
         existing = self.jobs.get(spec.job_id)
         if existing is not None:
             return existing
--- a/src/salthead/cluster/orphans.py
+++ b/src/salthead/cluster/orphans.py
@@ -38,10 +38,9 @@
             return
         job_id, index, attempt = key
         job = self.job_table.jobs.get(job_id)
-        if job is not None:
-            team, request = job.team, job.request
-        elif job_id in self.job_table.ended_jobs:
-            team, request = self.job_table.ended_jobs[job_id]
+        known = job or self.job_table.ended_jobs.get(job_id)
+        if known is not None:
+            team, request = known.team, known.request
         else:
             team, request = -1, NO_RESOURCES
             self.unknown_jobs.add(job_id)
@@ -78,7 +77,7 @@
         known_team = self.job_table.team_names.get(spec.team)
         team = -1 if known_team is None else known_team
         request = Resources(spec.vcpus, spec.accelerators, spec.ram_gb)
-        self.job_table.ended_jobs[spec.job_id] = (team, request)
+        self.job_table.ended_jobs.add(spec.job_id, team, request)
         self.unknown_jobs.discard(spec.job_id)
         for machine in self.job_table.registry.machines.values():
             for key, orphan in machine.orphans.items():
--- a/src/salthead/controller/submissions.py
+++ b/src/salthead/controller/submissions.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import contextlib
 import logging
 import time
 from typing import Any, NamedTuple
@@ -36,6 +37,8 @@
 FORWARD_TIMEOUT_S = 0.8
 CPU_TOLERANCE = 1e-6  # for rounding errors in sums of CPUs
 
+Record = tuple[str, dict[str, Any]]  # key and value
+
 
 class SubmissionResult(NamedTuple):
     """The status of a submitted job, and whether this submission created it."""
@@ -94,24 +97,17 @@
                 return SubmissionResult(status, created=False)
             raise
         try:
-            revision = await self.context.state_store.transaction(
-                {records.job_key(job.job_id): 0, records.outcome_key(job.job_id): 0},
-                [put(key, value) for key, value in rows],
-            )
+            status = await self._write_records(job, rows, dependency_cancelled)
         except (RequestRefusedError, UnansweredError):
             if forwarded:
                 raise
             return await self._forward(job)
         except ConflictError:
-            status = await self.job_reader.read_status(job.job_id, RequestClass.SUBMISSION)
-            if status is None:
+            known = await self.job_reader.read_status(job.job_id, RequestClass.SUBMISSION)
+            if known is None:
                 raise UnavailableError("in doubt") from None
-            return SubmissionResult(status, created=False)
-        event(log, "job_accepted", logging.DEBUG, job=job.job_id, tasks=job.task_count)
-        if dependency_cancelled:
-            return SubmissionResult(self._remember_cancelled(job), created=True)
-        job.more = len(rows) - 1
-        return SubmissionResult(self._remember_accepted(job, revision), created=True)
+            return SubmissionResult(known, created=False)
+        return SubmissionResult(status, created=True)
 
     async def _known_status(self, job_id: str) -> JobStatus | None:
         """Return the status of a job that is in the cache or, at the leader, in the ledger."""
@@ -173,9 +169,7 @@
 
     # -- records ------------------------------------------------------------------------
 
-    async def _build_records(
-        self, job: Submission
-    ) -> tuple[list[tuple[str, dict[str, Any]]], bool]:
+    async def _build_records(self, job: Submission) -> tuple[list[Record], bool]:
         """Return the records of a new job, and whether a dependency was cancelled.
 
         Raises InvalidJobError if the job can never run or is too large to be stored.
@@ -195,18 +189,35 @@
             rows = [(records.outcome_key(job.job_id), value)]
         return rows, dependency_cancelled
 
+    async def _write_records(
+        self, job: Submission, rows: list[Record], dependency_cancelled: bool
+    ) -> JobStatus:
+        """Write the records of a new job, and return its status.
+
+        Raises ConflictError if the job was accepted before, and RequestRefusedError or
+        UnansweredError if it may not be accepted now.
+        """
+        # The leader may learn of the job, and end it, before its own write is answered.
+        term = self.leader_view.leading()
+        with contextlib.nullcontext() if term is None else term.job_records.reading():
+            revision = await self.context.state_store.transaction(
+                {records.job_key(job.job_id): 0, records.outcome_key(job.job_id): 0},
+                [put(key, value) for key, value in rows],
+            )
+            event(log, "job_accepted", logging.DEBUG, job=job.job_id, tasks=job.task_count)
+            if dependency_cancelled:
+                return self._remember_cancelled(job)
+            job.more = len(rows) - 1
+            self.job_cache.remember_accepted(job)
+            # A term that has begun meanwhile learns of the job by its watch.
+            if term is not None and term is self.leader_view.leading():
+                term.job_records.add_job(job, revision)
+            return JobStatus(job.job_id, wire_names.QUEUED)
+
     def _remember_cancelled(self, job: Submission) -> JobStatus:
         self.job_cache.remember_outcome(job.job_id, wire_names.ABORTED, job.task_count, job.at)
         return JobStatus(job.job_id, wire_names.ABORTED)
 
-    def _remember_accepted(self, job: Submission, revision: int) -> JobStatus:
-        """Remember a job that was written at ``revision``, and return its status."""
-        self.job_cache.remember_accepted(job)
-        term = self.leader_view.leading()
-        if term is not None and term.ledger.loaded:
-            term.job_records.add_job(job, revision)
-        return JobStatus(job.job_id, wire_names.QUEUED)
-
     # -- other controllers --------------------------------------------------------------
 
     async def _forward(self, job: Submission) -> SubmissionResult:
--- a/src/salthead/leader/cancellation.py
+++ b/src/salthead/leader/cancellation.py
@@ -10,7 +10,6 @@
 from salthead.leader.outcomes import Outcomes
 from salthead.protocol import wire_names
 from salthead.protocol.messages import JobStatus
-from salthead.state_store import records
 from salthead.state_store.request_stats import RequestClass
 from salthead.transport.client import UnansweredError
 
@@ -57,12 +56,7 @@
 
     async def _load_job(self, job_id: str) -> Job:
         """Load an accepted job that is not over into the ledger, and return it."""
-        row = await self.context.state_store.get(records.job_key(job_id), RequestClass.SUBMISSION)
-        if row is None or not self.ledger.loaded:
-            raise UnansweredError("cancel in doubt")
-        self.job_records.apply_row(records.job_key(job_id), *row)
-        if job_id in self.job_records.incomplete:
-            await self.job_records.resolve(job_id)
+        await self.job_records.read_job(job_id, RequestClass.SUBMISSION)
         job = self.ledger.jobs.get(job_id)
         if job is None:
             raise UnansweredError("cancel in doubt")
--- a/src/salthead/leader/job_records.py
+++ b/src/salthead/leader/job_records.py
@@ -2,7 +2,8 @@
 
 from __future__ import annotations
 
-from collections.abc import Mapping
+from collections.abc import Iterable, Mapping
+from contextlib import AbstractContextManager
 from typing import Any
 
 from salthead.leader.context import TermContext
@@ -14,7 +15,13 @@
 from salthead.protocol.messages import MalformedMessageError, Submission
 from salthead.protocol.terminal_outcome import TerminalOutcome
 from salthead.state_store import records
-from salthead.state_store.messages import RETRYABLE_ERRORS, CompactedError, decode_logged_change
+from salthead.state_store.messages import (
+    RETRYABLE_ERRORS,
+    CompactedError,
+    LoggedChange,
+    VersionedValue,
+    decode_logged_change,
+)
 from salthead.state_store.request_stats import RequestClass
 from salthead.transport.client import UnansweredError
 
@@ -22,8 +29,25 @@
 WATCH_TIMEOUT_S = 10.0
 
 
+def _last_writes(entries: Iterable[Any]) -> list[LoggedChange]:
+    """Return the last write of each key that the entries of a change log do not remove again."""
+    writes: dict[str, LoggedChange] = {}
+    for entry in entries:
+        change = decode_logged_change(entry)
+        if change.key is not None:
+            writes[change.key] = change
+        elif change.removed_key is not None:
+            writes.pop(change.removed_key, None)
+    return list(writes.values())
+
+
 class JobRecords:
-    """Loads the records of earlier terms, and adds to the ledger the jobs accepted since."""
+    """Loads the records of earlier terms, and adds to the ledger the jobs accepted since.
+
+    A job can end between a read of its record and the answer. Each read after the load, with what
+    it adds, is therefore in a block of ``reading``, and ``add_job`` is the only way into the
+    ledger.
+    """
 
     def __init__(
         self,
@@ -45,6 +69,8 @@
         # Jobs whose record has continuation values that have not been read.
         self.incomplete: dict[str, None] = {}
 
+    # -- records of earlier terms ---------------------------------------------------------
+
     async def load(self, read: ReadRecords) -> None:
         """Load the jobs, done tasks and registered machines of earlier terms."""
         jobs = await read(records.JOBS)
@@ -58,8 +84,8 @@
         # so none is missing for a job that was listed.
         rows = (await read(records.DEPENDENCIES)).rows
         continuations = {key: value for key, (value, _) in rows.items()}
-        for key, (value, revision) in jobs.rows.items():
-            self.apply_row(key, value, revision, continuations, loading=True)
+        for key, row in jobs.rows.items():
+            self._load_job(key, row, continuations)
         self.save_loop.stale_dependencies = {
             key: job_id
             for key in continuations
@@ -71,88 +97,83 @@
         )
         self.machine_registry.load(machines, now)
 
-    def apply_row(
-        self,
-        key: str,
-        value: Any,
-        revision: int,
-        continuations: dict[str, Any] | None = None,
-        loading: bool = False,
-    ) -> None:
-        """Add the job of a record to the ledger unless it is over.
+    def _load_job(self, key: str, row: VersionedValue, continuations: Mapping[str, Any]) -> None:
+        """Add a job that was listed when the term began.
 
-        ``continuations`` has the continuation values by key, or is None if they were not read.
+        It counts as active even if it has a terminal outcome in the cache: an outcome derived from
+        a dependency may be reported before it is written.
         """
-        try:
-            spec = self._decode(value, continuations)
-        except MalformedMessageError as error:
-            self.context.log_throttled("job record", f"{key}: {error}")
-            return
-        if spec is None:
-            return
-        # A job whose record is loaded counts as active even if it has a terminal outcome in the
-        # cache: an outcome derived from a dependency may be reported before it is written.
-        if loading or self._is_active(spec.job_id, revision):
+        spec = self._decode(key, row.value, continuations)
+        if spec is not None:
             self.ledger.add_job(
-                spec, self.now(), accepted_this_term=revision > self.context.revision
+                spec, self.now(), accepted_this_term=row.revision > self.context.revision
             )
 
-    def _decode(self, value: Any, continuations: Mapping[str, Any] | None) -> Submission | None:
+    def _decode(
+        self, key: str, value: Any, continuations: Mapping[str, Any] | None
+    ) -> Submission | None:
         """Decode a job's record with its continuation values.
 
-        Return None, and mark the job as incomplete, if it has continuation values that were not
-        read. Raises MalformedMessageError if a value is malformed or missing.
+        Return None for a malformed record, which is logged, and for one with continuation values if
+        ``continuations`` is None, since they were not read: ``resolve_loop`` then reads them.
         """
-        spec = records.decode_job(value)
-        if not spec.more:
-            return spec
-        if continuations is None:
-            self.incomplete[spec.job_id] = None
+        try:
+            spec = records.decode_job(value)
+            if not spec.more:
+                return spec
+            if continuations is None:
+                if spec.job_id not in self.ledger.jobs:
+                    self.incomplete[spec.job_id] = None
+                return None
+            return records.with_continuations(spec, continuations)
+        except MalformedMessageError as error:
+            self.context.log_throttled("job record", f"{key}: {error}")
             return None
-        continued = [
-            job_id
-            for n in range(spec.more)
-            for job_id in records.decode_dependencies(
-                continuations.get(records.dependencies_key(spec.job_id, n))
-            )
-        ]
-        spec.depends_on = (spec.depends_on or []) + continued
-        return spec
+
+    # -- jobs accepted since ----------------------------------------------------------------
+
+    def reading(self) -> AbstractContextManager[None]:
+        """Return a context in which records are read, or written by this controller, and added."""
+        return self.ledger.job_table.ended_jobs.kept_during_read()
 
     def add_job(self, spec: Submission, revision: int) -> None:
-        """Add a job whose record this controller has written at ``revision``."""
-        if self._is_active(spec.job_id, revision):
+        """Add a job whose record was written at ``revision``, unless it has ended since.
+
+        Records from before this term were read when it began; a job among them that is not in the
+        ledger has ended. One that ended in this term is refused by the ledger.
+        """
+        if self.ledger.loaded and revision > self.context.revision:
             self.ledger.add_job(spec, self.now(), accepted_this_term=True)
 
-    def _is_active(self, job_id: str, revision: int) -> bool:
-        """Return whether a record from a watch event or a late answer is of a job that is not over.
+    def _add_record(self, key: str, value: Any, revision: int) -> None:
+        spec = self._decode(key, value, None)
+        if spec is not None:
+            self.add_job(spec, revision)
 
-        Records from before this term were read when it began; a job among them that is not in the
-        ledger has ended, though this controller may not have read its outcome. Without this check
-        the late answer to a submission started a job again that an earlier leader had ended.
-        ``terminal_outcomes`` holds many more outcomes of this term than are written within the
-        timeout of an answer.
+    async def read_job(self, job_id: str, request_class: RequestClass) -> None:
+        """Read the record of a job, and add the job unless it has ended.
+
+        Raises UnansweredError if there is no record.
         """
-        return revision > self.context.revision and job_id not in self.terminal_outcomes
+        with self.reading():
+            row = await self.context.state_store.get(records.job_key(job_id), request_class)
+            if row is None:
+                raise UnansweredError(f"no record of {job_id}")
+            if job_id not in self.ledger.jobs:
+                spec = await self.job_lookup.read_dependencies(
+                    records.decode_job(row.value), request_class
+                )
+                self.add_job(spec, row.revision)
+            self.incomplete.pop(job_id, None)
 
     async def watch_loop(self) -> None:
         """Add the jobs that any controller accepts, by watching their records."""
         while True:
             try:
-                entries, self.known_epoch = await self.context.state_store.watch(
-                    records.JOBS, self.known_epoch, WATCH_TIMEOUT_S
-                )
-                for entry in entries:
-                    change = decode_logged_change(entry)
-                    if change.key is not None:
-                        self.apply_row(change.key, change.value, change.revision)
+                await self._watch()
             except CompactedError:
                 try:
-                    rows, self.known_epoch = await self.context.state_store.list_prefix(
-                        records.JOBS, RequestClass.LEADER
-                    )
-                    for key, (value, revision) in rows.items():
-                        self.apply_row(key, value, revision)
+                    await self._list()
                 except RETRYABLE_ERRORS as error:
                     self.context.log_throttled("job list", error)
                     await self.context.sleep_with_jitter(1.0)
@@ -160,6 +181,25 @@
                 self.context.log_throttled("job watch", error)
                 await self.context.sleep_with_jitter(0.5)
 
+    async def _watch(self) -> None:
+        """Add the jobs written since the known epoch, once there are any."""
+        with self.reading():
+            entries, self.known_epoch = await self.context.state_store.watch(
+                records.JOBS, self.known_epoch, WATCH_TIMEOUT_S
+            )
+            # A record that is removed again may be of a job that ended before this read.
+            for change in _last_writes(entries):
+                self._add_record(str(change.key), change.value, change.revision)
+
+    async def _list(self) -> None:
+        """Add all jobs that have a record, and watch from there."""
+        with self.reading():
+            rows, self.known_epoch = await self.context.state_store.list_prefix(
+                records.JOBS, RequestClass.LEADER
+            )
+            for key, (value, revision) in rows.items():
+                self._add_record(key, value, revision)
+
     async def resolve_loop(self) -> None:
         """Resolve dependencies that the ledger does not know, and read incomplete records."""
         while True:
@@ -176,23 +216,12 @@
 
         Raises UnansweredError if the job has neither an outcome nor a record.
         """
-        unresolved = self.ledger.dependency_graph.unresolved
         outcome = self.terminal_outcomes.get(job_id)
         if outcome is None or (outcome.phase == wire_names.DONE and outcome.ended_at is None):
             outcome = await self.job_lookup.read_outcome(job_id, RequestClass.LEADER)
-        if outcome is not None:
-            self.incomplete.pop(job_id, None)
-            if job_id in unresolved:
-                self.ledger.resolve_dependency(job_id, outcome.phase, outcome.ended_at, self.now())
+        if outcome is None:
+            await self.read_job(job_id, RequestClass.LEADER)
             return
-        row = await self.context.state_store.get(records.job_key(job_id), RequestClass.LEADER)
-        if row is None:
-            raise UnansweredError(f"no record of {job_id}")
-        if job_id not in self.ledger.jobs:
-            spec = await self.job_lookup.read_dependencies(
-                records.decode_job(row.value), RequestClass.LEADER
-            )
-            self.incomplete.pop(job_id, None)
-            self.ledger.add_job(
-                spec, self.now(), accepted_this_term=row.revision > self.context.revision
-            )
+        self.incomplete.pop(job_id, None)
+        if job_id in self.ledger.dependency_graph.unresolved:
+            self.ledger.resolve_dependency(job_id, outcome.phase, outcome.ended_at, self.now())
--- a/src/salthead/state_store/messages.py
+++ b/src/salthead/state_store/messages.py
@@ -110,9 +110,10 @@
 
 
 class LoggedChange(msgspec.Struct):
-    """An entry of the change log; ``key`` is None if the entry removes a key."""
+    """An entry of the change log, which sets ``key`` or removes ``removed_key``."""
 
     key: str | None = msgspec.field(name="set", default=None)
+    removed_key: str | None = msgspec.field(name="drop", default=None)
     value: Any = None
     revision: int = msgspec.field(name="stamp", default=0)
 
--- a/src/salthead/state_store/records.py
+++ b/src/salthead/state_store/records.py
@@ -20,6 +20,7 @@
 from __future__ import annotations
 
 import json
+from collections.abc import Mapping
 from typing import Any
 
 import msgspec
@@ -83,6 +84,17 @@
     return job_ids
 
 
+def with_continuations(spec: Submission, continuations: Mapping[str, Any]) -> Submission:
+    """Return a job with its continued dependencies, from the continuation values by key.
+
+    Raises MalformedMessageError if a value is malformed or missing.
+    """
+    depends_on = list(spec.depends_on or [])
+    for n in range(spec.more):
+        depends_on += decode_dependencies(continuations.get(dependencies_key(spec.job_id, n)))
+    return msgspec.structs.replace(spec, depends_on=depends_on or None)
+
+
 def job_rows(spec: Submission, max_kb: float, max_changes: int) -> list[tuple[str, dict[str, Any]]]:
     """Return the keys and values that hold a job, to be written in one transaction.
 
