Reap a task only when no copy of its start can run it again

Cause: after a reap a repeated start runs the task again. A task that was refused, or that completed at once, was reaped within a second of its start. Later copies, and copies of direct commands, can't start a task.

Change: RecentStarts holds the starts sent to a machine in the last 4.5 s. Until then the exit of the task is not reaped, and no other attempt of the task is started on that machine. The body of a direct command takes stops alone, by its type.

--- a/src/salthead/cluster/model.py
+++ b/src/salthead/cluster/model.py
@@ -10,6 +10,7 @@
 from dataclasses import dataclass, field
 from enum import StrEnum
 
+from salthead.cluster.recent_starts import RecentStarts
 from salthead.cluster.resources import (
     EPSILON,
     MachineKind,
@@ -106,6 +107,7 @@
     # Tasks, allocations and cached images.
     bindings: dict[tuple[str, int], Binding] = field(default_factory=dict)
     orphans: dict[tuple[str, int, int], Binding] = field(default_factory=dict)
+    recent_starts: RecentStarts = field(default_factory=RecentStarts)
     allocated: ResourceUsage = field(default_factory=ResourceUsage)
     # Sizes of cached images in GB, the least recently used first.
     images: OrderedDict[str, float] = field(default_factory=OrderedDict)
--- a/src/salthead/heartbeats/task_reconciliation.py
+++ b/src/salthead/heartbeats/task_reconciliation.py
@@ -10,6 +10,7 @@
 from salthead.cluster.machine_health import mark_unresponsive, record_task_error
 from salthead.cluster.model import Binding, Job, Machine
 from salthead.cluster.orphans import OrphanKey
+from salthead.cluster.recent_starts import TaskKey
 from salthead.cluster.release_reason import ReleaseReason
 from salthead.cluster.start_rules import should_still_run
 from salthead.event_log import event
@@ -33,8 +34,6 @@
 # A machine is unresponsive if this many answers carried the same start and none was executed.
 MAX_UNEXECUTED_STARTS = 3
 
-TaskKey = tuple[str, int]  # job and task number
-
 MACHINE_REGISTERED = int(Precondition.MACHINE_REGISTERED)
 TOKEN_ACCEPTED = int(Precondition.TOKEN_ACCEPTED)
 OUTCOME_DURABLE = int(Precondition.OUTCOME_DURABLE)
@@ -154,7 +153,7 @@
         held |= TOKEN_ACCEPTED if machine.reconciled else 0
         if not permits(Action.START, held):
             return
-        for binding in machine.bindings.values():
+        for key, binding in machine.bindings.items():
             if binding.phase or binding.stop_grace_s is not None:
                 continue
             if len(self.commands) >= MAX_COMMANDS:
@@ -164,8 +163,16 @@
                 # earlier attempt. The next heartbeat, which will not list it, releases it.
                 ledger.allocations.request_stop(binding, 0.0)
             elif ledger.invariants.may_send_start(binding):
-                binding.start_sends += 1
-                self.commands.append(StartCommand(binding.task_id, binding.attempt))
+                self._add_start(key, binding)
+
+    def _add_start(self, key: TaskKey, binding: Binding) -> None:
+        """Add a start, once an earlier attempt that exited here may be reaped before it."""
+        starts = self.machine.recent_starts
+        if starts.other_may_be_copied(key, binding.attempt, self.now):
+            return
+        starts.record(key, binding.attempt, self.now)
+        binding.start_sends += 1
+        self.commands.append(StartCommand(binding.task_id, binding.attempt))
 
     # -- running tasks --------------------------------------------------------------------
 
@@ -276,7 +283,13 @@
                 self.ledger.allocations.request_stop(other, 0.0)
 
     def _may_reap(self, key: TaskKey, task: TaskStatus) -> bool:
-        """Return whether to reap an exited task: if it is done, once its result is durable."""
+        """Return whether to reap an exited task.
+
+        Not while a copy of its start may arrive, which would run it again; if it is done, not
+        before its result is durable.
+        """
+        if self.machine.recent_starts.may_be_copied(key, task.attempt, self.now):
+            return False
         if task.cause != wire_names.DONE:
             return True
         job_id, index = key
--- a/src/salthead/leader/worker_calls.py
+++ b/src/salthead/leader/worker_calls.py
@@ -14,7 +14,7 @@
 from salthead.leader.background import BackgroundTasks
 from salthead.leader.context import TermContext
 from salthead.protocol import wire_names
-from salthead.protocol.messages import Command, CommandRequest, Heartbeat, StopCommand, shape
+from salthead.protocol.messages import CommandRequest, Heartbeat, StopCommand, shape
 from salthead.scheduling import eligibility
 from salthead.state_store.messages import RETRYABLE_ERRORS
 from salthead.transport.client import Answer, HttpClient, UnansweredError
@@ -58,7 +58,7 @@
         self.background = background
 
     async def _post_commands(
-        self, machine: Machine, incarnation: int, commands: list[Command], timeout: float
+        self, machine: Machine, incarnation: int, commands: list[StopCommand], timeout: float
     ) -> Answer:
         """Send a command request with this term's fencing token.
 
@@ -208,7 +208,7 @@
         if not self.context.permits(Action.STOP, Precondition.TOKEN_ACCEPTED):
             return
         requested = self.ledger.allocations.take_stops()
-        commands: dict[Machine, list[Command]] = {}
+        commands: dict[Machine, list[StopCommand]] = {}
         for binding in requested:
             machine = binding.machine
             if binding.stop_grace_s is None or binding.stop_sent or not binding.phase:
@@ -227,7 +227,7 @@
         for machine, stops in commands.items():
             self.background.spawn(self.send_commands(machine, stops[:MAX_COMMANDS]))
 
-    async def send_commands(self, machine: Machine, commands: list[Command]) -> None:
+    async def send_commands(self, machine: Machine, commands: list[StopCommand]) -> None:
         """Send commands once; answers to the worker's heartbeats repeat them."""
         try:
             await self._post_commands(machine, machine.incarnation, commands, STOP_TIMEOUT_S)
--- a/src/salthead/protocol/messages.py
+++ b/src/salthead/protocol/messages.py
@@ -210,11 +210,14 @@
 
 
 class CommandRequest(msgspec.Struct, frozen=True):
-    """The body of POST /do: commands of a leader to one incarnation of a worker."""
+    """The body of POST /do: commands of a leader to one incarnation of a worker.
+
+    It may be executed late, or once more after it was answered: only stops do no harm then.
+    """
 
     fencing_token: int = msgspec.field(name="baton")
     incarnation: int = msgspec.field(name="tenure")
-    commands: list[Command] = msgspec.field(name="orders", default_factory=list)
+    commands: list[StopCommand] = msgspec.field(name="orders", default_factory=list)
 
 
 def encode(message: Any) -> bytes:
