--- a/tests/wire_examples.py
+++ b/tests/wire_examples.py
@@ -269,7 +269,7 @@
     results["a stop"] = await reply_bytes(
         clients.heartbeat(request(heartbeat(name, 3, shown, other, spot=spot)))
     )
-    # A task is reaped only some seconds after its start, and the clock of the examples stands still.
+    # A task is reaped some seconds after its start, and the clock of the examples stands still.
     binding.machine.recent_starts = RecentStarts()
     exits = (("req-1/0", binding.attempt, "exited", "error"), ("req-9/1", 4, "exited", "halted"))
     results["reaped"] = await reply_bytes(
