--- a/src/salthead/autoscaling/scale_in.py
+++ b/src/salthead/autoscaling/scale_in.py
@@ -7,6 +7,7 @@
 
 from salthead.autoscaling.fleet_supply import Slot, SlotPool, hourly_price
 from salthead.cluster.ledger import Ledger
+from salthead.cluster.machine_health import heartbeats_expected
 from salthead.cluster.model import BOOTING, LOST, UP, Job, Machine
 from salthead.event_log import event
 from salthead.scheduling.eligibility import allowed_kinds
@@ -158,7 +159,7 @@
         # of the machine's termination ends that delay at the cost of one boot. If many machines are
         # silent, a partition is the likelier cause, and none is terminated before its lease ends.
         self.silent_to_terminate: set[str] = set()
-        if not ledger.ready and ledger.heartbeats_expected(now):
+        if not ledger.ready and heartbeats_expected(ledger, now):
             silent = ledger.failover.unreconciled_machines()
             if ledger.shared_silence is not None:
                 # Machines behind a partition of their zone are likely healthy.
--- a/src/salthead/cluster/allocations.py
+++ b/src/salthead/cluster/allocations.py
@@ -3,12 +3,12 @@
 from __future__ import annotations
 
 import logging
+from enum import StrEnum
 
 from salthead import metrics
 from salthead.cluster.invariants import Invariants
 from salthead.cluster.job_table import JobTable
 from salthead.cluster.model import Binding, Job, Machine
-from salthead.cluster.release_reason import ReleaseReason
 from salthead.cluster.resources import Resources, ResourceUsage
 from salthead.event_log import event
 from salthead.protocol import wire_names
@@ -21,6 +21,18 @@
 ATTEMPT_COUNTER_BITS = 24
 
 
+class ReleaseReason(StrEnum):
+    """Proof that a task is not on its machine any more."""
+
+    EXITED = "exited"
+    NOT_SHOWN = "not_shown"  # an earlier heartbeat listed it and a newer one does not
+    NEVER_STARTED = "never_started"  # not in a heartbeat newer than every answer with its start
+    NEVER_SENT = "never_told"  # no answer carried its start
+    LEASE_EXPIRED = "lease_over"
+    NEW_INCARNATION = "new_session"
+    TERMINATED = "returned"  # the cloud confirmed that the machine is gone
+
+
 class Allocations:
     """All bindings and the usage that they cause; the only code that changes either."""
 
--- a/src/salthead/cluster/job_table.py
+++ b/src/salthead/cluster/job_table.py
@@ -1,9 +1,10 @@
-"""The jobs that have not ended, and which of their tasks are done."""
+"""The jobs that have not ended, which of their tasks are done, and which jobs wait."""
 
 from __future__ import annotations
 
 import logging
 from collections.abc import Iterable
+from dataclasses import dataclass, field
 
 from salthead.cluster.ended_jobs import EndedJobs
 from salthead.cluster.estimates import Arrivals, Estimates
@@ -19,6 +20,16 @@
 log = logging.getLogger(__name__)
 
 
+@dataclass
+class PendingQueue:
+    """Jobs with waiting tasks, in the order in which freed capacity is offered to them."""
+
+    jobs: list[Job] = field(default_factory=list)
+    min_cpus: float = 0.0  # smallest request of a task in the queue
+    constrained: bool = False  # whether a queued job fits on scarce machine types only
+    backlog_since: float | None = None  # since when the fleet can't keep up with the queue
+
+
 class JobTable:
     """Jobs by id; the only code that adds and forgets jobs and marks their tasks as done."""
 
--- a/src/salthead/cluster/ledger.py
+++ b/src/salthead/cluster/ledger.py
@@ -16,19 +16,17 @@
 import math
 from collections.abc import Callable, Iterable
 
-from salthead.cluster.allocations import Allocations
+from salthead.cluster.allocations import Allocations, ReleaseReason
 from salthead.cluster.dependencies import JobDependencies
 from salthead.cluster.estimates import StartAttainment
 from salthead.cluster.events import LedgerEvents
 from salthead.cluster.failover import Failover
 from salthead.cluster.hooks import SilenceHooks, ZoneHooks
 from salthead.cluster.invariants import Invariants
-from salthead.cluster.job_table import JobTable
+from salthead.cluster.job_table import JobTable, PendingQueue
 from salthead.cluster.machine_registry import MachineRegistry
 from salthead.cluster.model import BOOTING, GONE, UP, Job, Machine, MachinePhase
 from salthead.cluster.orphans import OrphanTasks
-from salthead.cluster.pending_queue import PendingQueue
-from salthead.cluster.release_reason import ReleaseReason
 from salthead.cluster.worker_leases import UnloadedHeartbeats, WorkerLeases
 from salthead.failure_detection.blocked_actions import BlockedActions
 from salthead.failure_detection.preconditions import Precondition
@@ -41,11 +39,6 @@
 LEADER_LEASE, TOKEN_CURRENT = int(Precondition.LEADER_LEASE), int(Precondition.TOKEN_CURRENT)
 JOBS_KNOWN, FLEET_RECONCILED = int(Precondition.JOBS_KNOWN), int(Precondition.FLEET_RECONCILED)
 
-# A machine's heartbeat is overdue when its last one is older than this many intervals.
-OVERDUE_HEARTBEAT_INTERVALS = 3.0
-# Time that workers may take to find a new leader, on top of one heartbeat interval.
-LEADER_DISCOVERY_S = 1.0
-
 
 class Ledger:
     """What one leader knows and has decided during one term."""
@@ -163,22 +156,6 @@
         """Return the CPUs and GPUs that any team's tasks may occupy on unreconciled machines."""
         return (0.0, 0.0) if self.ready else self.failover.unreconciled_capacity()
 
-    def heartbeats_expected(self, now: float) -> bool:
-        """Return whether every healthy machine has had time to find this leader."""
-        interval_s = self.limits.workers.heartbeat_interval_s
-        return now - self.term_started_at > LEADER_DISCOVERY_S + interval_s
-
-    def count_responsive_machines(self, now: float) -> tuple[int, int]:
-        """Return how many machines that are up have a recent heartbeat, and how many do not."""
-        up = [m for m in self.machines.values() if m.phase == UP]
-        cutoff = now - OVERDUE_HEARTBEAT_INTERVALS * self.limits.workers.heartbeat_interval_s
-        on_time = sum(1 for m in up if self._heard_at(m) >= cutoff)
-        return on_time, len(up) - on_time
-
-    def _heard_at(self, machine: Machine) -> float:
-        """Return when a machine was last heard; before the records are loaded, in any heartbeat."""
-        return machine.last_heartbeat_at if self.loaded else machine.links.last_received_at
-
     # -- jobs -----------------------------------------------------------------------------
 
     def run_s(self, job: Job) -> float:
--- a/src/salthead/cluster/machine_health.py
+++ b/src/salthead/cluster/machine_health.py
@@ -1,11 +1,11 @@
-"""Health of machines: failing tasks and workers that answers do not reach."""
+"""Health of machines: overdue heartbeats, failing tasks, and workers that answers do not reach."""
 
 from __future__ import annotations
 
 import logging
 
 from salthead.cluster.ledger import Ledger
-from salthead.cluster.model import Job, Machine
+from salthead.cluster.model import UP, Job, Machine
 from salthead.event_log import event
 
 log = logging.getLogger(__name__)
@@ -18,6 +18,30 @@
 # for the maximum.
 ERROR_PAUSE_STEP_S, MAX_ERROR_PAUSE_S = 5.0, 30.0
 
+# A machine's heartbeat is overdue when its last one is older than this many intervals.
+OVERDUE_HEARTBEAT_INTERVALS = 3.0
+# Time that workers may take to find a new leader, on top of one heartbeat interval.
+LEADER_DISCOVERY_S = 1.0
+
+
+def heartbeats_expected(ledger: Ledger, now: float) -> bool:
+    """Return whether every healthy machine has had time to find this leader."""
+    interval_s = ledger.limits.workers.heartbeat_interval_s
+    return now - ledger.term_started_at > LEADER_DISCOVERY_S + interval_s
+
+
+def count_responsive_machines(ledger: Ledger, now: float) -> tuple[int, int]:
+    """Return how many machines that are up have a recent heartbeat, and how many do not."""
+    up = [machine for machine in ledger.machines.values() if machine.phase == UP]
+    cutoff = now - OVERDUE_HEARTBEAT_INTERVALS * ledger.limits.workers.heartbeat_interval_s
+    on_time = sum(1 for machine in up if _heard_at(ledger, machine) >= cutoff)
+    return on_time, len(up) - on_time
+
+
+def _heard_at(ledger: Ledger, machine: Machine) -> float:
+    """Return when a machine was last heard; before the records are loaded, in any heartbeat."""
+    return machine.last_heartbeat_at if ledger.loaded else machine.links.last_received_at
+
 
 def mark_unresponsive(ledger: Ledger, machine: Machine, now: float, why: str) -> None:
     """Give a machine no work: its heartbeats arrive, but answers do not reach it."""
--- a/src/salthead/cluster/start_rules.py
+++ b/src/salthead/cluster/start_rules.py
@@ -1,4 +1,4 @@
-"""Conditions for starting a task, and the quota that a team has left.
+"""Conditions for starting or adopting a task, and the quota that a team has left.
 
 Scheduling passes, backfill, rescheduling, preemption and the answers that carry starts all use
 these functions.
@@ -9,6 +9,7 @@
 from salthead.cluster.ledger import Ledger
 from salthead.cluster.model import Binding, Job
 from salthead.cluster.resources import EPSILON
+from salthead.protocol.messages import TaskStatus
 
 
 def startable(ledger: Ledger, job: Job) -> bool:
@@ -39,6 +40,20 @@
     )
 
 
+def may_adopt(job: Job, index: int, task: TaskStatus) -> bool:
+    """Return whether a running task without a binding may be bound, and so may continue."""
+    if (
+        job.terminal_phase
+        or job.dependency_cancelled
+        or job.cancel_requested
+        or not 0 <= index < job.spec.task_count
+    ):
+        return False
+    if job.done[index] or index in job.bindings:
+        return False
+    return not job.gang or not (job.failed or (job.bindings and job.attempt != task.attempt))
+
+
 def remaining_quota(ledger: Ledger, job: Job, respect_reservations: bool = True) -> int:
     """Return how many more tasks of the job its team's limit allows.
 
--- a/src/salthead/cluster/sweep.py
+++ b/src/salthead/cluster/sweep.py
@@ -5,9 +5,9 @@
 import logging
 import math
 
+from salthead.cluster.allocations import ReleaseReason
 from salthead.cluster.ledger import Ledger
 from salthead.cluster.model import LOST, UP, Machine
-from salthead.cluster.release_reason import ReleaseReason
 from salthead.event_log import event
 from salthead.failure_detection.preconditions import Action, Precondition, permits
 
--- a/src/salthead/failure_detection/shared_silence.py
+++ b/src/salthead/failure_detection/shared_silence.py
@@ -15,6 +15,7 @@
 from pyroaring import BitMap
 
 from salthead.cluster.ledger import Ledger
+from salthead.cluster.machine_health import heartbeats_expected
 from salthead.cluster.model import GONE, LOST, UP, Machine
 from salthead.event_log import event
 from salthead.failure_detection.machine_sets import MachineSets
@@ -93,7 +94,7 @@
         self.swept_at = now
         self.sets.ensure_zones(len(self.ledger.zones), now)
         self.sets.rotate(now)
-        if not self.ledger.heartbeats_expected(now):
+        if not heartbeats_expected(self.ledger, now):
             return
         self.partitioned = BitMap()
         partitioned_groups = set()
--- a/src/salthead/heartbeats/handling.py
+++ b/src/salthead/heartbeats/handling.py
@@ -5,10 +5,10 @@
 import logging
 import math
 
+from salthead.cluster.allocations import ReleaseReason
 from salthead.cluster.ledger import Ledger
 from salthead.cluster.machine_health import mark_unresponsive
 from salthead.cluster.model import BOOTING, LOST, UP, Machine
-from salthead.cluster.release_reason import ReleaseReason
 from salthead.event_log import event
 from salthead.failure_detection.preconditions import Action, Precondition, missing_preconditions
 from salthead.heartbeats.task_reconciliation import commands_for, stops_of_ended_jobs
--- a/src/salthead/heartbeats/task_reconciliation.py
+++ b/src/salthead/heartbeats/task_reconciliation.py
@@ -6,13 +6,13 @@
 from collections.abc import Iterable
 
 from salthead import metrics
+from salthead.cluster.allocations import ReleaseReason
 from salthead.cluster.ledger import Ledger
 from salthead.cluster.machine_health import mark_unresponsive, record_task_error
 from salthead.cluster.model import Binding, Job, Machine
 from salthead.cluster.orphans import OrphanKey
 from salthead.cluster.recent_starts import TaskKey
-from salthead.cluster.release_reason import ReleaseReason
-from salthead.cluster.start_rules import should_still_run
+from salthead.cluster.start_rules import may_adopt, should_still_run
 from salthead.event_log import event
 from salthead.failure_detection.preconditions import Action, Precondition, permits
 from salthead.protocol import wire_names
@@ -83,6 +83,15 @@
     )
 
 
+def _record_image(ledger: Ledger, binding: Binding) -> None:
+    """Record that the machine of a task that has started has the task's image."""
+    spec = binding.job.spec if binding.job else None
+    if spec is not None and spec.image:
+        machine_type = ledger.machine_types.get(binding.machine.machine_type)
+        cache_gb = machine_type.local_gb if machine_type else 0.0
+        binding.machine.record_image(spec.image, spec.image_gb, cache_gb)
+
+
 class TaskReconciliation:
     """Compares the tasks of one heartbeat with the bindings of its machine."""
 
@@ -201,20 +210,13 @@
                 binding.job.first_start = self.now
         binding.phase = phase
         if phase in (wire_names.RUNNING, wire_names.GATHERING):
-            self._record_image(binding)
-
-    def _record_image(self, binding: Binding) -> None:
-        spec = binding.job.spec if binding.job else None
-        if spec is not None and spec.image:
-            machine_type = self.ledger.machine_types.get(binding.machine.machine_type)
-            cache_gb = machine_type.local_gb if machine_type else 0.0
-            binding.machine.record_image(spec.image, spec.image_gb, cache_gb)
+            _record_image(self.ledger, binding)
 
     def _adopt(self, key: TaskKey, task: TaskStatus) -> Binding | None:
         """Bind a running task that an earlier leader started; return None if it is an orphan."""
         job_id, index = key
         job = self.ledger.jobs.get(job_id)
-        if job is None or not _may_adopt(job, index, task):
+        if job is None or not may_adopt(job, index, task):
             return None
         if job.gang:
             job.attempt = task.attempt
@@ -296,17 +298,3 @@
         job = self.ledger.jobs.get(job_id)
         durable = job is None or bool(job.terminal_phase) or index in job.saved
         return permits(Action.REAP_RESULT, OUTCOME_DURABLE if durable else 0)
-
-
-def _may_adopt(job: Job, index: int, task: TaskStatus) -> bool:
-    """Return whether a running task without a binding may be bound, and so may continue."""
-    if (
-        job.terminal_phase
-        or job.dependency_cancelled
-        or job.cancel_requested
-        or not 0 <= index < job.spec.task_count
-    ):
-        return False
-    if job.done[index] or index in job.bindings:
-        return False
-    return not job.gang or not (job.failed or (job.bindings and job.attempt != task.attempt))
--- a/src/salthead/leader/leadership.py
+++ b/src/salthead/leader/leadership.py
@@ -7,6 +7,7 @@
 from collections.abc import Callable, Mapping
 
 from salthead import metrics
+from salthead.cluster.machine_health import count_responsive_machines
 from salthead.event_log import event
 from salthead.failure_detection.preconditions import Action, Precondition
 from salthead.leader.context import TermContext
@@ -140,7 +141,7 @@
         while True:
             await self.context.sleep_with_jitter(1.0)
             now = self.context.now()
-            responsive, silent = self.context.ledger.count_responsive_machines(now)
+            responsive, silent = count_responsive_machines(self.context.ledger, now)
             if silent <= responsive or now - self.context.ledger.term_started_at < grace_s + 1.0:
                 continue
             responsive_elsewhere = await self._max_workers_at_a_peer()
--- a/src/salthead/networks/directory.py
+++ b/src/salthead/networks/directory.py
@@ -6,7 +6,7 @@
 
 import netaddr
 
-from salthead.policy import Network
+from salthead.networks.declaration import Network
 from salthead.toml_file import ConfigFileError
 
 
--- a/src/salthead/policy.py
+++ b/src/salthead/policy.py
@@ -14,19 +14,12 @@
 import msgspec
 
 from salthead import toml_file
+from salthead.networks.declaration import Network
 from salthead.toml_file import ConfigFileError
 
 __all__ = ["NO_POLICY", "Network", "PartialCutPolicy", "Policy", "ZonePolicy", "check", "load"]
 
 
-class Network(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
-    """An IP network whose machines are observed as a group."""
-
-    name: str
-    prefix: str  # such as 10.1.2.0/24 or fd00:12::/32
-    within: str | None = None  # the smallest declared network that contains it, if any
-
-
 class ZonePolicy(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
     """Thresholds for the loss and recovery of a zone, and for the slow start that follows."""
 
--- a/src/salthead/scheduling/placement.py
+++ b/src/salthead/scheduling/placement.py
@@ -6,9 +6,9 @@
 import random
 from collections.abc import Iterable
 
+from salthead.cluster.allocations import ReleaseReason
 from salthead.cluster.ledger import Ledger
 from salthead.cluster.model import UP, Binding, Job, Machine
-from salthead.cluster.release_reason import ReleaseReason
 from salthead.cluster.start_rules import remaining_quota, should_still_run
 from salthead.event_log import event
 from salthead.scheduling.candidate_pools import CandidatePools, pick_of_two
--- a/tests/test_ledger.py
+++ b/tests/test_ledger.py
@@ -7,6 +7,7 @@
 from helpers import heartbeat, job, ledger, machine, ready, spec, verbs
 from salthead.autoscaling import fleet_plan
 from salthead.cluster import machine_health
+from salthead.cluster.machine_health import count_responsive_machines
 from salthead.cluster.model import LOST, UP
 from salthead.cluster.resources import ResourceUsage
 from salthead.cluster.sweep import sweep
@@ -241,7 +242,7 @@
         for name in ("m1", "m2"):
             led.add_machine(name, "small", "north", False, 0.0, registered=True)
         handle_heartbeat(led, heartbeat("m1", 9, fencing_token=6), 100.0)
-        assert led.count_responsive_machines(101.0) == (1, 1)
+        assert count_responsive_machines(led, 101.0) == (1, 1)
 
 
 class TestStrays:
--- a/tests/test_networks.py
+++ b/tests/test_networks.py
@@ -10,9 +10,9 @@
 from helpers import heartbeat, ledger, machine
 from salthead import policy
 from salthead.heartbeats.handling import handle_heartbeat
+from salthead.networks.declaration import Network
 from salthead.networks.directory import NetworkDirectory
 from salthead.networks.silence import NetworkSilence, NetworkView
-from salthead.policy import Network
 from salthead.toml_file import ConfigFileError
 from salthead.zones.recovery import ZoneRecovery
 from test_zones import zone_policy
