Take no outcome without counts from the answer to a cancellation

Cause: a follower that had a job cancelled which was done by then stored the leader's answer as the outcome.

Change: LeaderCalls caches a done job only from an answer that says how many tasks are done.

Not changed: the counts of a cancelled job still fall to 0 once its outcome is told from the cache.

--- a/src/salthead/controller/leader_calls.py
+++ b/src/salthead/controller/leader_calls.py
@@ -39,10 +39,20 @@
             return None
         if status is None or status.job_id != job_id:
             return None
-        if status.is_terminal:
-            self.job_cache.remember_outcome(job_id, status.phase, status.done or 0)
+        self._remember_outcome(status)
         return status
 
+    def _remember_outcome(self, status: JobStatus) -> None:
+        """Cache the outcome of a job that has ended, with the number of its tasks if it is done.
+
+        The answer to a cancellation has no counts: that of a job which was done before does not say
+        how many tasks it had.
+        """
+        if status.phase == wire_names.ABORTED:
+            self.job_cache.remember_outcome(status.job_id, status.phase, 0)
+        elif status.phase == wire_names.DONE and status.done:
+            self.job_cache.remember_outcome(status.job_id, status.phase, status.done)
+
     @staticmethod
     def _decode_status(answer: Answer) -> JobStatus | None:
         return shape(answer.body, JobStatus) if answer.status == 200 else None
