Look a malformed submission up before it is refused

The submission was checked before anything asked whether the job was known.

Change: a malformed submission whose uid can be read gets the status of the job if it was accepted, 503 if that can't be known, and 400 else.

--- a/src/salthead/controller/handlers.py
+++ b/src/salthead/controller/handlers.py
@@ -32,7 +32,7 @@
     decode_job_query,
     decode_withhold_vote,
 )
-from salthead.protocol.validation import decode_heartbeat, decode_submission
+from salthead.protocol.validation import decode_heartbeat, decode_submission, submitted_job_id
 from salthead.state_store.messages import ConflictError, LeaseExpiredError, RequestRefusedError
 from salthead.transport.client import UnansweredError
 from salthead.transport.http import PrefixRoutes, Reply, Request, Route, Router
@@ -86,8 +86,7 @@
         submission = decode_submission(request.body, forwarded)
         status, created = await controller.submissions.submit(submission, forwarded)
     except MalformedMessageError as error:
-        event(log, "submission_refused", error=error)
-        return _error_reply(HTTPStatus.BAD_REQUEST, error)
+        return await _malformed_reply(controller, request, error)
     except InvalidJobError as error:
         return _error_reply(HTTPStatus.UNPROCESSABLE_ENTITY, error)
     except UNDECIDED_ERRORS as error:
@@ -95,6 +94,25 @@
     return Reply(HTTPStatus.CREATED if created else HTTPStatus.OK, status)
 
 
+async def _malformed_reply(
+    controller: Controller, request: Request, error: MalformedMessageError
+) -> Reply:
+    """Answer a malformed submission: with the status if it repeats one that was accepted.
+
+    An earlier version may have accepted what this one refuses.
+    """
+    job_id = submitted_job_id(request.body)
+    if job_id is not None:
+        try:
+            status = await controller.submissions.accepted_status(job_id)
+        except UNDECIDED_ERRORS as undecided:
+            return _error_reply(HTTPStatus.SERVICE_UNAVAILABLE, undecided)
+        if status is not None:
+            return Reply(HTTPStatus.OK, status)
+    event(log, "submission_refused", error=error)
+    return _error_reply(HTTPStatus.BAD_REQUEST, error)
+
+
 class ClientHandlers:
     """Handlers of requests from users, workers, operators and the load balancer."""
 
--- a/src/salthead/controller/submissions.py
+++ b/src/salthead/controller/submissions.py
@@ -109,6 +109,16 @@
             return SubmissionResult(known, created=False)
         return SubmissionResult(status, created=True)
 
+    async def accepted_status(self, job_id: str) -> JobStatus | None:
+        """Return the status of a job that was accepted before, or None.
+
+        Raises UnavailableError or an error of the state service if that is not known.
+        """
+        if self.load.overloaded():
+            raise UnavailableError("overloaded")
+        status = await self._known_status(job_id)
+        return status or await self.job_reader.read_status(job_id, RequestClass.SUBMISSION)
+
     async def _known_status(self, job_id: str) -> JobStatus | None:
         """Return the status of a job that is in the cache or, at the leader, in the ledger."""
         outcome = self.job_cache.terminal_outcomes.get(job_id)
--- a/src/salthead/protocol/validation.py
+++ b/src/salthead/protocol/validation.py
@@ -78,6 +78,17 @@
     return job
 
 
+def submitted_job_id(body: bytes) -> str | None:
+    """Return the job id in a submission that may be malformed otherwise, or None."""
+    if len(body) > MAX_BODY_BYTES:
+        return None
+    try:
+        job_id = decode_map(body).get("uid")
+    except MalformedMessageError:
+        return None
+    return job_id if type(job_id) is str and JOB_ID.match(job_id) else None
+
+
 def _check_ranges(job: Submission) -> None:
     """Check the values that types do not restrict; MalformedMessageError names the field."""
     if not JOB_ID.match(job.job_id):
